Add the workspace, the messages and the first decision cores

Cause: there was no code yet.

This adds the CMake workspace with its packages, the protobuf messages, the datagram seal, packet parsing, the resource codec, and balancer and agent cores that place a flow through its home and forward to its owner.

Before: nothing. Nothing is measured yet.

Conclusion: the interfaces are fixed far enough for the parts to be built side by side.

--- /dev/null
+++ b/scripts/format.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Formats all sources; with --check only reports what is not formatted.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mode=(-i)
+[ "${1:-}" = --check ] && mode=(--dry-run --Werror)
+git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' | grep -v /generated/ |
+    xargs -r clang-format "${mode[@]}"
--- /dev/null
+++ b/src/agent/agentsettings.h
@@ -0,0 +1,38 @@
+#ifndef RHUBARBLANE_AGENT_AGENTSETTINGS_H
+#define RHUBARBLANE_AGENT_AGENTSETTINGS_H
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "wire/peeraddress.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace rhubarblane
+{
+
+/** What an agent core is told at start. */
+struct AgentSettings {
+    std::string name;
+    Incarnation incarnation;
+    /** Where peers reach this agent. */
+    PeerAddress address;
+    /** Balancers that the target is announced to. */
+    std::vector<PeerAddress> balancers;
+    std::string client;
+    std::string availabilityZone;
+    std::map<std::string, std::string> labels;
+    /** Requests that the target serves at once. */
+    std::uint32_t slots = 1;
+    /** Relative service rate; 1000 is one reference VM. */
+    std::uint32_t capacityMilli = 1000;
+    /** Requests that wait at the target before new ones are refused. */
+    std::uint32_t queueLimit = 64;
+    std::uint32_t flowLimit = 500000;
+    std::uint64_t seed = 1;
+};
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/balancer/balancercore.h
@@ -0,0 +1,121 @@
+#ifndef RHUBARBLANE_BALANCER_BALANCERCORE_H
+#define RHUBARBLANE_BALANCER_BALANCERCORE_H
+
+#include "balancer/balanceraction.h"
+#include "balancer/targettable.h"
+#include "base/clock.h"
+#include "model/configuration.h"
+#include "wire/ippacket.h"
+
+#include <cstdint>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace rhubarblane
+{
+
+/** What a balancer core is told at start. */
+struct BalancerSettings {
+    std::string name;
+    Incarnation incarnation;
+    /** Where agents and other balancers reach this balancer. */
+    PeerAddress address;
+    std::size_t flowCacheLimit = 1000000;
+};
+
+/** Counters since the start of the process. */
+struct BalancerCounters {
+    std::uint64_t packets = 0;
+    std::uint64_t cacheHits = 0;
+    std::uint64_t toHome = 0;
+    std::uint64_t unknownService = 0;
+    std::uint64_t noTarget = 0;
+    std::uint64_t malformed = 0;
+    std::uint64_t fragments = 0;
+    std::uint64_t unsupportedProtocol = 0;
+};
+
+/**
+ * Forwards each packet to the owner or the home of its flow, and answers the announcements of targets.
+ * Has no sockets, threads or clock; equal events give equal actions.
+ */
+class BalancerCore
+{
+public:
+    explicit BalancerCore(BalancerSettings settings);
+
+    /** Handles a raw IP packet from the fabric. */
+    void handlePacket(Timestamp now, std::string_view packet);
+
+    /** Handles an authenticated message from another process. */
+    void handleMessage(Timestamp now, const PeerAddress &from, const wire::Envelope &message);
+
+    /** Takes over a configuration if its revision is higher than the current one. Returns true if it did. */
+    bool applyConfiguration(const Configuration &configuration);
+
+    /** Takes over a target entry that another balancer spread. */
+    void mergeTarget(Timestamp now, const wire::TargetEntry &entry);
+
+    void tick(Timestamp now);
+
+    std::vector<BalancerSend> takeActions();
+
+    const Configuration &configuration() const
+    {
+        return configuration_;
+    }
+    const TargetTable &targets() const
+    {
+        return targets_;
+    }
+    const BalancerCounters &counters() const
+    {
+        return counters_;
+    }
+    std::size_t cachedFlows() const
+    {
+        return cache_.size();
+    }
+
+private:
+    struct CacheEntry {
+        TargetId owner;
+        std::uint32_t ownerAddress = 0;
+        std::uint16_t ownerPort = 0;
+        std::uint64_t ownerIncarnation = 0;
+    };
+
+    struct ServiceEndpoint {
+        std::uint32_t address = 0;
+        std::uint16_t port = 0;
+        Protocol protocol = Protocol::Udp;
+
+        friend bool operator==(const ServiceEndpoint &a, const ServiceEndpoint &b)
+        {
+            return a.address == b.address && a.port == b.port && a.protocol == b.protocol;
+        }
+    };
+
+    struct ServiceEndpointHash {
+        std::size_t operator()(const ServiceEndpoint &endpoint) const noexcept;
+    };
+
+    void handle(Timestamp now, const PeerAddress &from, const wire::Announce &message);
+    void handle(const wire::FlowOwner &message);
+    void forward(const PacketInfo &info, ServiceId service, std::string_view packet);
+    void countPacketError(PacketError error);
+    void bindTargets();
+
+    BalancerSettings settings_;
+    Configuration configuration_;
+    TargetTable targets_;
+    std::unordered_map<ServiceEndpoint, ServiceId, ServiceEndpointHash> services_;
+    std::unordered_map<FlowHash, CacheEntry> cache_;
+    BalancerCounters counters_;
+    std::vector<BalancerSend> actions_;
+};
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/base/clock.cpp
@@ -0,0 +1,16 @@
+#include "base/clock.h"
+
+#include <ctime>
+
+namespace rhubarblane
+{
+
+Timestamp SystemClock::now() const
+{
+    // CLOCK_BOOTTIME also counts while the VM is suspended, so leases lapse during a suspension.
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return Timestamp(static_cast<std::int64_t>(time.tv_sec) * 1000 + time.tv_nsec / 1000000);
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/base/rendezvous.h
@@ -0,0 +1,26 @@
+#ifndef RHUBARBLANE_BASE_RENDEZVOUS_H
+#define RHUBARBLANE_BASE_RENDEZVOUS_H
+
+#include "base/ids.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace rhubarblane
+{
+
+/** A member and its weight; a weight of 0 or less is never chosen. */
+struct WeightedTarget {
+    TargetId target;
+    double weight = 1.0;
+};
+
+/** Unweighted rendezvous score of a target for a flow; the highest score is the flow's home. */
+std::uint64_t rendezvousScore(FlowHash flow, TargetId target);
+
+/** The `count` best targets for a flow in descending order of weighted rendezvous score. */
+std::vector<TargetId> rankByRendezvous(FlowHash flow, const std::vector<WeightedTarget> &targets, std::size_t count);
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/bench/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/wire/datagramseal.h
@@ -0,0 +1,57 @@
+#ifndef RHUBARBLANE_WIRE_DATAGRAMSEAL_H
+#define RHUBARBLANE_WIRE_DATAGRAMSEAL_H
+
+#include "base/ids.h"
+
+#include <bitset>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+
+namespace rhubarblane
+{
+
+enum class SealError {
+    TooShort,
+    BadTag, ///< Not made with this deployment's key.
+    Replayed, ///< Seen before, or older than the window.
+    StaleIncarnation, ///< From an earlier start of the sender.
+};
+
+/** Authenticates datagrams between the processes of a deployment and drops replayed ones. */
+class DatagramSeal
+{
+public:
+    /** `sender` names this process in its datagrams. `key` must have at least 16 bytes. */
+    DatagramSeal(std::string key, std::uint64_t sender, Incarnation incarnation);
+
+    /** Returns the datagram for `payload`. */
+    std::string seal(std::string_view payload);
+
+    /** Returns the payload of an authentic datagram that was not seen before. */
+    std::variant<std::string_view, SealError> open(std::string_view datagram);
+
+private:
+    static constexpr std::size_t WindowBits = 2048;
+
+    struct Window {
+        std::uint64_t incarnation = 0;
+        std::uint64_t highest = 0;
+        std::bitset<WindowBits> seen;
+    };
+
+    void computeTag(std::string_view body, unsigned char *tag) const;
+    static bool accept(Window &window, std::uint64_t sequence);
+
+    std::string key_;
+    std::uint64_t sender_;
+    Incarnation incarnation_;
+    std::uint64_t sequence_ = 0;
+    std::unordered_map<std::uint64_t, Window> windows_;
+};
+
+} // namespace rhubarblane
+
+#endif
