Let clang-tidy accept the compiler options of g++

Cause: the build passes a g++ warning option that clang does not know, and with -Werror in the compile commands clang-tidy stopped on each file.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -12,4 +12,4 @@
     cppcheck --quiet --std=c++17 --language=c++ --enable=warning,performance,portability --inline-suppr \
         --suppress=missingInclude --suppress=unknownMacro --error-exitcode=1 -I src -i src/wire/generated -j 4 src
 fi
-printf '%s\0' "${files[@]}" | xargs -0 -n 1 -P 8 clang-tidy --quiet -p "$build" 2> >(grep -v " warnings\? generated" >&2)
+printf '%s\0' "${files[@]}" | xargs -0 -n 1 -P 8 clang-tidy --quiet --extra-arg=-Wno-unknown-warning-option -p "$build" 2> >(grep -v " warnings\? generated" >&2)
