Move placement rules of AgentCore into class Placement

Cause: admission and candidate selection change independently of the flow protocol, and they shared one class with it.

Before: four private functions of AgentCore. After: class Placement in src/agent/placement.{h,cpp}; it receives the self entry, the active and open flows, the settings and the roster. Behaviour is unchanged; the one test program passes.

Conclusion: placement can be developed apart from AgentCore.

--- a/src/agent/agentcore.cpp
+++ b/src/agent/agentcore.cpp
@@ -1,7 +1,5 @@
 #include "agent/agentcore.h"
 
-#include "base/rendezvous.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -17,7 +15,6 @@
 constexpr Milliseconds DecisionRetention(60000);
 constexpr Milliseconds DefaultIdleTimeout(60000);
 constexpr std::uint32_t MaximumHops = 4;
-constexpr std::size_t CandidateCount = 5;
 
 } // namespace
 
@@ -107,7 +104,7 @@
 
 void AgentCore::decide(Timestamp now, const FlowTuple &flow, const wire::Forward &message)
 {
-    const std::vector<TargetId> candidates = candidatesFor(flowHashOf(flow));
+    const std::vector<TargetId> candidates = Placement::candidatesFor(flowHashOf(flow), roster_);
     Decision &decision = decisions_[flow];
     decision.attempt = nextAttempt_++;
     decision.changed = now;
@@ -139,9 +136,10 @@
         sendPlaceResult(message, true);
         return;
     }
+    const bool canAccept = Placement::canAccept(self_, load(), settings_);
     const bool isCandidate = !message.candidates().empty() && message.candidates(0) == self_.target();
     if (message.final()) {
-        const bool accepted = canAccept();
+        const bool accepted = canAccept;
         if (accepted) {
             accept(now, flow, message.forward());
         }
@@ -150,13 +148,13 @@
     }
     wire::Place next = message;
     if (isCandidate) {
-        if (canAccept() && hasFreeSlot()) {
+        if (canAccept && Placement::hasFreeSlot(load(), settings_)) {
             accept(now, flow, message.forward());
             sendPlaceResult(message, true);
             return;
         }
-        const std::uint64_t wait = expectedWait();
-        if (canAccept() && (!next.has_best() || wait < next.best().expected_wait_ms())) {
+        const std::uint64_t wait = Placement::expectedWait(load(), settings_);
+        if (canAccept && (!next.has_best() || wait < next.best().expected_wait_ms())) {
             next.mutable_best()->set_target(self_.target());
             next.mutable_best()->set_expected_wait_ms(wait);
         }
@@ -310,7 +308,7 @@
     *message->mutable_entry() = self_;
     message->mutable_load()->set_busy_slots(std::min(activeFlows_, settings_.slots));
     message->mutable_load()->set_open_flows(static_cast<std::uint32_t>(flows_.size()));
-    message->mutable_load()->set_expected_wait_ms(expectedWait());
+    message->mutable_load()->set_expected_wait_ms(Placement::expectedWait(load(), settings_));
     message->set_sent_ms(static_cast<std::uint64_t>(now.milliseconds()));
     message->set_configuration_revision(configurationRevision_);
     for (const PeerAddress &balancer : settings_.balancers) {
@@ -452,35 +450,9 @@
     actions_.emplace_back(SendMessage {to, std::move(message)});
 }
 
-bool AgentCore::canAccept() const
-{
-    return self_.state() == wire::SERVING && flows_.size() < settings_.flowLimit
-        && activeFlows_ < settings_.slots + settings_.queueLimit;
-}
-
-bool AgentCore::hasFreeSlot() const
-{
-    return activeFlows_ < settings_.slots;
-}
-
-std::uint64_t AgentCore::expectedWait() const
+LocalLoad AgentCore::load() const
 {
-    if (hasFreeSlot()) {
-        return 0;
-    }
-    const std::uint64_t queued = activeFlows_ - settings_.slots + 1;
-    return queued * 1000000 / (static_cast<std::uint64_t>(settings_.slots) * settings_.capacityMilli);
-}
-
-std::vector<TargetId> AgentCore::candidatesFor(FlowHash flow) const
-{
-    std::vector<WeightedTarget> targets;
-    for (const wire::TargetEntry &entry : roster_.entries()) {
-        if (entry.state() == wire::SERVING) {
-            targets.push_back({TargetId(entry.target()), static_cast<double>(entry.capacity_milli()) * entry.slots()});
-        }
-    }
-    return rankByRendezvous(flow, targets, CandidateCount);
+    return LocalLoad {activeFlows_, flows_.size()};
 }
 
 } // namespace rhubarblane
--- a/src/agent/agentcore.h
+++ b/src/agent/agentcore.h
@@ -5,6 +5,7 @@
 #include "agent/agentsettings.h"
 #include "agent/flowtable.h"
 #include "agent/grouproster.h"
+#include "agent/placement.h"
 #include "base/clock.h"
 #include "wire/ippacket.h"
 
@@ -122,10 +123,7 @@
     void tellOwner(const wire::Forward &message, TargetId owner, std::uint64_t ownerIncarnation);
     void send(const PeerAddress &to, wire::Envelope message);
 
-    bool canAccept() const;
-    bool hasFreeSlot() const;
-    std::uint64_t expectedWait() const;
-    std::vector<TargetId> candidatesFor(FlowHash flow) const;
+    LocalLoad load() const;
 
     AgentSettings settings_;
     wire::TargetEntry self_;
