Add heartbeats, majority lease and membership of a service's group

Cause: agents took their roster from balancers only. There was no failure detection between the members of a group, no majority rule, and a member that was declared gone could not return.

GroupView sends heartbeats every 500 ms in a full mesh and exchanges entries when roster digests differ; a change of the roster is sent at once. The lease counts only answers of members that have the same roster, dated by the own sending time. Because two members can be declared gone at the same time by different members, a new roster needs a majority of the last confirmed roster as well. The digest contains the highest state sequence, so that no agent returns to an earlier digest and evidence for it cannot be confused. A member that learns that it was declared gone rejoins with a higher sequence and is admitted again after the quarantine. SteadyTime keeps time monotonic and reports pauses and jumps of the clock.

Conclusion: a minority, a paused process and an old incarnation no longer decide.

--- a/src/agent/agentcore.cpp
+++ b/src/agent/agentcore.cpp
@@ -16,30 +16,38 @@
 constexpr Milliseconds DefaultIdleTimeout(60000);
 constexpr std::uint32_t MaximumHops = 4;
 
+wire::TargetEntry entryOf(const AgentSettings &settings)
+{
+    wire::TargetEntry entry;
+    entry.set_target(targetIdOf(settings.name).value());
+    entry.set_incarnation(settings.incarnation.value());
+    entry.set_sequence(1);
+    entry.set_name(settings.name);
+    *entry.mutable_address() = toWire(settings.address);
+    entry.set_client(settings.client);
+    entry.set_availability_zone(settings.availabilityZone);
+    for (const auto &[key, value] : settings.labels) {
+        wire::Label *label = entry.add_labels();
+        label->set_key(key);
+        label->set_value(value);
+    }
+    entry.set_state(wire::JOINING);
+    entry.set_slots(settings.slots);
+    entry.set_capacity_milli(settings.capacityMilli);
+    return entry;
+}
+
 } // namespace
 
 AgentCore::AgentCore(AgentSettings settings)
     : settings_(std::move(settings))
+    , group_(entryOf(settings_))
 {
-    self_.set_target(targetIdOf(settings_.name).value());
-    self_.set_incarnation(settings_.incarnation.value());
-    self_.set_sequence(1);
-    self_.set_name(settings_.name);
-    *self_.mutable_address() = toWire(settings_.address);
-    self_.set_client(settings_.client);
-    self_.set_availability_zone(settings_.availabilityZone);
-    for (const auto &[key, value] : settings_.labels) {
-        wire::Label *label = self_.add_labels();
-        label->set_key(key);
-        label->set_value(value);
-    }
-    self_.set_state(wire::JOINING);
-    self_.set_slots(settings_.slots);
-    self_.set_capacity_milli(settings_.capacityMilli);
 }
 
 void AgentCore::handleMessage(Timestamp now, const PeerAddress &from, const wire::Envelope &message)
 {
+    now = advance(now);
     switch (message.message_case()) {
     case wire::Envelope::kForward:
         handle(now, from, message.forward());
@@ -53,6 +61,9 @@
     case wire::Envelope::kFlowEnd:
         handle(now, from, message.flow_end());
         break;
+    case wire::Envelope::kHeartbeat:
+        handle(now, from, message.heartbeat());
+        break;
     case wire::Envelope::kAnnounceAck:
         handle(now, from, message.announce_ack());
         break;
@@ -68,7 +79,7 @@
         ++counters_.wrongService;
         return;
     }
-    if (message.target_incarnation() != 0 && message.target_incarnation() != self_.incarnation()) {
+    if (message.target_incarnation() != 0 && message.target_incarnation() != self().incarnation()) {
         ++counters_.staleIncarnation;
         return;
     }
@@ -89,8 +100,8 @@
         }
         return;
     }
-    const std::optional<TargetId> home = roster_.homeOf(flowHashOf(flow));
-    if (home && home->value() != self_.target()) {
+    const std::optional<TargetId> home = group_.homeOf(flowHashOf(flow));
+    if (home && home->value() != self().target()) {
         sendOn(message, *home, false);
         return;
     }
@@ -104,7 +115,7 @@
 
 void AgentCore::decide(Timestamp now, const FlowTuple &flow, const wire::Forward &message)
 {
-    const std::vector<TargetId> candidates = Placement::candidatesFor(flowHashOf(flow), roster_);
+    const std::vector<TargetId> candidates = Placement::candidatesFor(flowHashOf(flow), roster());
     Decision &decision = decisions_[flow];
     decision.attempt = nextAttempt_++;
     decision.changed = now;
@@ -116,8 +127,8 @@
     }
     wire::Place place;
     *place.mutable_forward() = message;
-    place.set_home(self_.target());
-    place.set_home_incarnation(self_.incarnation());
+    place.set_home(self().target());
+    place.set_home_incarnation(self().incarnation());
     place.set_attempt(decision.attempt);
     for (const TargetId candidate : candidates) {
         place.add_candidates(candidate.value());
@@ -136,8 +147,8 @@
         sendPlaceResult(message, true);
         return;
     }
-    const bool canAccept = Placement::canAccept(self_, load(), settings_);
-    const bool isCandidate = !message.candidates().empty() && message.candidates(0) == self_.target();
+    const bool canAccept = Placement::canAccept(self(), load(), settings_);
+    const bool isCandidate = !message.candidates().empty() && message.candidates(0) == self().target();
     if (message.final()) {
         const bool accepted = canAccept;
         if (accepted) {
@@ -155,7 +166,7 @@
         }
         const std::uint64_t wait = Placement::expectedWait(load(), settings_);
         if (canAccept && (!next.has_best() || wait < next.best().expected_wait_ms())) {
-            next.mutable_best()->set_target(self_.target());
+            next.mutable_best()->set_target(self().target());
             next.mutable_best()->set_expected_wait_ms(wait);
         }
         next.mutable_candidates()->erase(next.candidates().begin());
@@ -168,12 +179,12 @@
         next.set_final(true);
         next.add_candidates(next.best().target());
     }
-    const wire::TargetEntry *entry = roster_.find(TargetId(next.candidates(0)));
+    const wire::TargetEntry *entry = roster().find(TargetId(next.candidates(0)));
     if (entry == nullptr) {
         sendPlaceResult(message, false);
         return;
     }
-    if (entry->target() == self_.target()) {
+    if (entry->target() == self().target()) {
         handle(now, from, next);
         return;
     }
@@ -215,9 +226,20 @@
     }
 }
 
+void AgentCore::handle(Timestamp now, const PeerAddress &from, const wire::Heartbeat &message)
+{
+    if (service_ && message.service() != service_->service()) {
+        ++counters_.wrongService;
+        return;
+    }
+    if (!group_.handle(now, from, message)) {
+        ++counters_.staleIncarnation;
+    }
+}
+
 void AgentCore::handle(Timestamp now, const PeerAddress &from, const wire::AnnounceAck &message)
 {
-    if (message.target() != self_.target() || message.incarnation() != self_.incarnation()) {
+    if (message.target() != self().target() || message.incarnation() != self().incarnation()) {
         ++counters_.staleIncarnation;
         return;
     }
@@ -227,19 +249,15 @@
     configurationRevision_ = message.configuration_revision();
     if (message.has_service()) {
         service_ = message.service();
-        if (self_.state() == wire::JOINING) {
-            self_.set_state(wire::SERVING);
-            self_.set_service(service_->service());
-            self_.set_sequence(self_.sequence() + 1);
-            nextAnnounce_ = now;
+        for (const wire::TargetEntry &entry : message.members()) {
+            group_.learn(now, entry);
         }
-    }
-    for (const wire::TargetEntry &entry : message.members()) {
-        if (entry.target() != self_.target()) {
-            roster_.merge(entry);
+        group_.start(now, ServiceId(service_->service()), service_->at_most_once());
+        for (const std::uint64_t removed : message.removed()) {
+            group_.remove(now, TargetId(removed));
         }
+        group_.tick(now, wireLoad());
     }
-    roster_.merge(self_);
     if (message.drain() && !isDraining()) {
         beginDrain(now, now + Milliseconds(static_cast<std::int64_t>(message.drain_deadline_ms())));
     }
@@ -247,6 +265,7 @@
 
 void AgentCore::handleFromTarget(Timestamp now, const FlowTuple &flow, FlowNumber number, std::string packet)
 {
+    now = advance(now);
     FlowRecord *record = flows_.find(flow);
     if (record == nullptr || record->number != number) {
         ++counters_.lateFromTarget;
@@ -263,6 +282,7 @@
 
 void AgentCore::handleTargetClosed(Timestamp now, const FlowTuple &flow, FlowNumber number)
 {
+    now = advance(now);
     const FlowRecord *record = flows_.find(flow);
     if (record != nullptr && record->number == number) {
         endFlow(now, flow);
@@ -271,6 +291,9 @@
 
 void AgentCore::tick(Timestamp now)
 {
+    now = advance(now);
+    group_.tick(now, wireLoad());
+    group_.setRegistered(now);
     if (now >= nextAnnounce_) {
         announce(now);
     }
@@ -284,10 +307,7 @@
 void AgentCore::beginDrain(Timestamp now, Timestamp deadline)
 {
     drainDeadline_ = deadline;
-    self_.set_state(wire::DRAINING);
-    self_.set_sequence(self_.sequence() + 1);
-    roster_.merge(self_);
-    nextAnnounce_ = now;
+    group_.beginDrain(now);
 }
 
 bool AgentCore::isDrained(Timestamp now) const
@@ -295,20 +315,38 @@
     return isDraining() && (flows_.size() == 0 || now >= *drainDeadline_);
 }
 
+Timestamp AgentCore::advance(Timestamp now)
+{
+    const std::uint64_t jumps = time_.jumps();
+    const std::uint64_t pauses = time_.pauses();
+    now_ = time_.advance(now);
+    if (time_.jumps() != jumps) {
+        group_.handleClockJump(now_);
+    } else if (time_.pauses() != pauses) {
+        group_.handlePause(now_);
+    }
+    return now_;
+}
+
 std::vector<AgentAction> AgentCore::takeActions()
 {
+    if (self().state() != announcedState_) {
+        announce(now_);
+    }
+    for (SendMessage &message : group_.takeMessages(now_)) {
+        actions_.emplace_back(std::move(message));
+    }
     return std::exchange(actions_, {});
 }
 
 void AgentCore::announce(Timestamp now)
 {
+    announcedState_ = self().state();
     nextAnnounce_ = now + AnnounceInterval;
     wire::Envelope envelope;
     wire::Announce *message = envelope.mutable_announce();
-    *message->mutable_entry() = self_;
-    message->mutable_load()->set_busy_slots(std::min(activeFlows_, settings_.slots));
-    message->mutable_load()->set_open_flows(static_cast<std::uint32_t>(flows_.size()));
-    message->mutable_load()->set_expected_wait_ms(Placement::expectedWait(load(), settings_));
+    *message->mutable_entry() = self();
+    *message->mutable_load() = wireLoad();
     message->set_sent_ms(static_cast<std::uint64_t>(now.milliseconds()));
     message->set_configuration_revision(configurationRevision_);
     for (const PeerAddress &balancer : settings_.balancers) {
@@ -319,6 +357,7 @@
 void AgentCore::accept(Timestamp now, const FlowTuple &flow, const wire::Forward &message)
 {
     FlowRecord &record = flows_.insert(flow, now);
+    record.active = true;
     ++activeFlows_;
     ++counters_.accepted;
     deliver(now, record, message.packet());
@@ -344,15 +383,15 @@
     actions_.emplace_back(CloseFlow {flow, record->number});
     flows_.erase(flow);
     decisions_.erase(flow);
-    const std::optional<TargetId> home = roster_.homeOf(flowHashOf(flow));
-    if (!home || home->value() == self_.target()) {
+    const std::optional<TargetId> home = group_.homeOf(flowHashOf(flow));
+    if (!home || home->value() == self().target()) {
         return;
     }
     wire::Envelope envelope;
     *envelope.mutable_flow_end()->mutable_flow() = toWire(flow);
-    envelope.mutable_flow_end()->set_service(self_.service());
-    envelope.mutable_flow_end()->set_owner(self_.target());
-    send(fromWire(roster_.find(*home)->address()), std::move(envelope));
+    envelope.mutable_flow_end()->set_service(self().service());
+    envelope.mutable_flow_end()->set_owner(self().target());
+    send(fromWire(roster().find(*home)->address()), std::move(envelope));
 }
 
 void AgentCore::expireFlows(Timestamp now)
@@ -393,7 +432,7 @@
         ++counters_.hopLimit;
         return;
     }
-    const wire::TargetEntry *entry = roster_.find(to);
+    const wire::TargetEntry *entry = roster().find(to);
     if (entry == nullptr || entry->state() == wire::GONE) {
         ++counters_.noFlow;
         refuse(message, Refusal::Unknown);
@@ -417,14 +456,14 @@
     result->set_attempt(place.attempt());
     result->set_accepted(accepted);
     if (accepted) {
-        result->set_owner(self_.target());
-        result->set_owner_incarnation(self_.incarnation());
+        result->set_owner(self().target());
+        result->set_owner_incarnation(self().incarnation());
     }
-    if (place.home() == self_.target()) {
+    if (place.home() == self().target()) {
         handle(Timestamp(), settings_.address, *result);
         return;
     }
-    const wire::TargetEntry *home = roster_.find(TargetId(place.home()));
+    const wire::TargetEntry *home = roster().find(TargetId(place.home()));
     if (home != nullptr) {
         send(fromWire(home->address()), std::move(envelope));
     }
@@ -432,7 +471,7 @@
 
 void AgentCore::tellOwner(const wire::Forward &message, TargetId owner, std::uint64_t ownerIncarnation)
 {
-    const wire::TargetEntry *entry = roster_.find(owner);
+    const wire::TargetEntry *entry = roster().find(owner);
     if (entry == nullptr || !message.has_balancer()) {
         return;
     }
@@ -450,6 +489,15 @@
     actions_.emplace_back(SendMessage {to, std::move(message)});
 }
 
+wire::Load AgentCore::wireLoad() const
+{
+    wire::Load result;
+    result.set_busy_slots(std::min(activeFlows_, settings_.slots));
+    result.set_open_flows(static_cast<std::uint32_t>(flows_.size()));
+    result.set_expected_wait_ms(Placement::expectedWait(load(), settings_));
+    return result;
+}
+
 LocalLoad AgentCore::load() const
 {
     return LocalLoad {activeFlows_, flows_.size()};
--- a/src/agent/agentcore.h
+++ b/src/agent/agentcore.h
@@ -4,8 +4,9 @@
 #include "agent/agentaction.h"
 #include "agent/agentsettings.h"
 #include "agent/flowtable.h"
-#include "agent/grouproster.h"
+#include "agent/groupview.h"
 #include "agent/placement.h"
+#include "agent/steadytime.h"
 #include "base/clock.h"
 #include "wire/ippacket.h"
 
@@ -61,7 +62,7 @@
 
     bool isDraining() const
     {
-        return self_.state() == wire::DRAINING;
+        return self().state() == wire::DRAINING;
     }
 
     /** True when the target drains and no flow is open, or the drain deadline has come. */
@@ -76,7 +77,7 @@
     }
     const GroupRoster &roster() const
     {
-        return roster_;
+        return group_.roster();
     }
     const FlowTable &flows() const
     {
@@ -84,7 +85,7 @@
     }
     const wire::TargetEntry &self() const
     {
-        return self_;
+        return group_.self();
     }
     std::optional<wire::ServiceSettings> service() const
     {
@@ -110,6 +111,9 @@
     void handle(Timestamp now, const PeerAddress &from, const wire::FlowEnd &message);
     void handle(Timestamp now, const PeerAddress &from, const wire::AnnounceAck &message);
 
+    void handle(Timestamp now, const PeerAddress &from, const wire::Heartbeat &message);
+
+    Timestamp advance(Timestamp now);
     void announce(Timestamp now);
     void decide(Timestamp now, const FlowTuple &flow, const wire::Forward &message);
     void accept(Timestamp now, const FlowTuple &flow, const wire::Forward &message);
@@ -124,11 +128,14 @@
     void send(const PeerAddress &to, wire::Envelope message);
 
     LocalLoad load() const;
+    wire::Load wireLoad() const;
 
     AgentSettings settings_;
-    wire::TargetEntry self_;
+    GroupView group_;
+    SteadyTime time_;
+    Timestamp now_;
+    wire::MemberState announcedState_ = wire::JOINING;
     std::optional<wire::ServiceSettings> service_;
-    GroupRoster roster_;
     FlowTable flows_;
     std::unordered_map<FlowTuple, Decision> decisions_;
     std::uint32_t activeFlows_ = 0;
--- a/src/agent/flowtable.h
+++ b/src/agent/flowtable.h
@@ -7,20 +7,60 @@
 #include <boost/intrusive/list.hpp>
 
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace rhubarblane
 {
 
+/** A process: a target and the incarnation that was meant. */
+struct MemberKey {
+    TargetId target;
+    std::uint64_t incarnation = 0;
+
+    friend bool operator==(const MemberKey &a, const MemberKey &b)
+    {
+        return a.target == b.target && a.incarnation == b.incarnation;
+    }
+    friend bool operator!=(const MemberKey &a, const MemberKey &b)
+    {
+        return !(a == b);
+    }
+    friend bool operator<(const MemberKey &a, const MemberKey &b)
+    {
+        return a.target != b.target ? a.target < b.target : a.incarnation < b.incarnation;
+    }
+};
+
+using ActivityHook = boost::intrusive::list_base_hook<boost::intrusive::tag<struct ActivityTag>>;
+using SilenceHook = boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
 /** One flow that the local target serves. */
-struct FlowRecord : boost::intrusive::list_base_hook<> {
+struct FlowRecord : ActivityHook {
     FlowTuple flow;
     FlowNumber number;
+    /** Of the opening packet. */
+    std::uint64_t fingerprint = 0;
     Timestamp opened;
     Timestamp lastFromCaller;
     Timestamp lastFromTarget;
+    /** The home that knows this flow; empty if none has acknowledged it. */
+    std::optional<MemberKey> registeredHome;
+    /** TCP sequence and acknowledgement of the caller's last packet, for a reset towards the caller. */
+    std::uint32_t callerSequence = 0;
+    std::uint32_t callerAcknowledgement = 0;
+    /** Start of the wait for the target's or the caller's answer; valid while the hook is linked. */
+    Timestamp awaitsTargetSince;
+    Timestamp awaitsCallerSince;
+    SilenceHook awaitsTarget;
+    SilenceHook awaitsCaller;
     /** The request occupies a slot until its answer is complete. */
-    bool active = true;
+    bool active = false;
+    /** The caller has not completed the TCP handshake. */
+    bool halfOpen = false;
+    bool finFromCaller = false;
+    bool finFromTarget = false;
+    bool answered = false;
 };
 
 /** The flows that the local target serves; the only authoritative record of them. */
@@ -40,6 +80,12 @@
     /** The record without activity for the longest time; null if the table is empty. */
     FlowRecord *oldest();
 
+    /** The number of the youngest flow so far. */
+    FlowNumber lastNumber() const
+    {
+        return FlowNumber(nextNumber_ - 1);
+    }
+
     std::size_t size() const
     {
         return records_.size();
@@ -53,9 +99,17 @@
         }
     }
 
+    template<typename Visitor>
+    void forEach(Visitor visitor)
+    {
+        for (FlowRecord &record : order_) {
+            visitor(record);
+        }
+    }
+
 private:
     std::unordered_map<FlowTuple, std::unique_ptr<FlowRecord>> records_;
-    boost::intrusive::list<FlowRecord> order_;
+    boost::intrusive::list<FlowRecord, boost::intrusive::base_hook<ActivityHook>> order_;
     std::uint64_t nextNumber_ = 1;
 };
 
