--- a/src/agent/agentcore.cpp
+++ b/src/agent/agentcore.cpp
@@ -11,308 +11,265 @@
 
 constexpr Milliseconds AnnounceInterval(1000);
 constexpr Milliseconds ExpiryInterval(100);
-// Longer than the packet lifetime, so that a late copy of a refused opening packet still finds the refusal.
-constexpr Milliseconds DecisionRetention(60000);
-constexpr Milliseconds DefaultIdleTimeout(60000);
-constexpr std::uint32_t MaximumHops = 4;
-
-wire::TargetEntry entryOf(const AgentSettings &settings)
-{
-    wire::TargetEntry entry;
-    entry.set_target(targetIdOf(settings.name).value());
-    entry.set_incarnation(settings.incarnation.value());
-    entry.set_sequence(1);
-    entry.set_name(settings.name);
-    *entry.mutable_address() = toWire(settings.address);
-    entry.set_client(settings.client);
-    entry.set_availability_zone(settings.availabilityZone);
-    for (const auto &[key, value] : settings.labels) {
-        wire::Label *label = entry.add_labels();
-        label->set_key(key);
-        label->set_value(value);
-    }
-    entry.set_state(wire::JOINING);
-    entry.set_slots(settings.slots);
-    entry.set_capacity_milli(settings.capacityMilli);
-    return entry;
-}
+// All balancers know of a drain after 3 s at the design size; until then packets of new flows are still sent on.
+constexpr Milliseconds DrainLinger(3000);
+constexpr Milliseconds DrainGrace(1000);
+constexpr std::int64_t ColdStartSteps = 10;
 
 } // namespace
 
 AgentCore::AgentCore(AgentSettings settings)
-    : settings_(std::move(settings))
-    , group_(entryOf(settings_))
+    : context_(std::move(settings))
+    , outcomes_(context_)
+    , home_(context_, outcomes_)
+    , owned_(context_)
+    , registrations_(context_)
 {
 }
 
 void AgentCore::handleMessage(Timestamp now, const PeerAddress &from, const wire::Envelope &message)
+{
+    handleMessage(now, from, wire::Envelope(message));
+}
+
+void AgentCore::handleMessage(Timestamp now, const PeerAddress &from, wire::Envelope &&message)
 {
     now = advance(now);
+    dispatch(now, from, std::move(message));
+    finishEvent(now);
+}
+
+void AgentCore::dispatch(Timestamp now, const PeerAddress &from, wire::Envelope &&message)
+{
     switch (message.message_case()) {
     case wire::Envelope::kForward:
-        handle(now, from, message.forward());
+        handle(now, std::move(*message.mutable_forward()));
         break;
     case wire::Envelope::kPlace:
-        handle(now, from, message.place());
+        owned_.handle(now, std::move(*message.mutable_place()));
         break;
     case wire::Envelope::kPlaceResult:
-        handle(now, from, message.place_result());
+        if (isOfService(message.place_result().service())) {
+            home_.handle(now, message.place_result());
+        }
         break;
     case wire::Envelope::kFlowEnd:
-        handle(now, from, message.flow_end());
+        if (isOfService(message.flow_end().service())) {
+            home_.handle(now, message.flow_end());
+        }
+        break;
+    case wire::Envelope::kRegister:
+        if (isOfService(message.register_().service())) {
+            home_.handle(now, message.register_());
+        }
+        break;
+    case wire::Envelope::kRegisterAck:
+        handle(now, message.register_ack());
+        break;
+    case wire::Envelope::kQuery:
+        if (isOfService(message.query().service())) {
+            handle(now, message.query());
+        }
+        break;
+    case wire::Envelope::kQueryAnswer:
+        if (isOfService(message.query_answer().service())) {
+            home_.handle(now, message.query_answer());
+        }
         break;
     case wire::Envelope::kHeartbeat:
         handle(now, from, message.heartbeat());
         break;
     case wire::Envelope::kAnnounceAck:
-        handle(now, from, message.announce_ack());
+        handle(now, message.announce_ack());
         break;
     default:
-        ++counters_.malformed;
+        ++context_.counters.malformed;
         break;
     }
 }
 
-void AgentCore::handle(Timestamp now, const PeerAddress &from, const wire::Forward &message)
+void AgentCore::handle(Timestamp now, wire::Forward &&message)
 {
-    if (!service_ || message.service() != service_->service()) {
-        ++counters_.wrongService;
+    if (!isOfService(message.service())) {
         return;
     }
     if (message.target_incarnation() != 0 && message.target_incarnation() != self().incarnation()) {
-        ++counters_.staleIncarnation;
+        ++context_.counters.staleIncarnation;
+        context_.clearOwner(message);
         return;
     }
     const FlowTuple flow = fromWire(message.flow());
-    if (FlowRecord *record = flows_.find(flow)) {
-        deliver(now, *record, message.packet());
-        return;
-    }
-    const auto known = decisions_.find(flow);
-    if (known != decisions_.end()) {
-        const Decision &decision = known->second;
-        if (decision.state == Decision::State::Placed) {
-            tellOwner(message, decision.owner, decision.ownerIncarnation);
-            sendOn(message, decision.owner, true);
-        } else {
-            // A copy of a packet whose flow is being decided or was refused must not be decided again.
-            ++counters_.droppedCopies;
-        }
+    FlowRecord *record = context_.flows.find(flow);
+    if (record != nullptr && record->closing && message.opening()
+        && fingerprintOf(flow.protocol, message.packet()) != record->fingerprint) {
+        // The caller uses the port of a flow that both sides have closed for a new one.
+        owned_.end(now, *record, false);
+        record = nullptr;
+    }
+    if (record != nullptr) {
+        owned_.deliver(now, *record, std::move(*message.mutable_packet()));
         return;
     }
-    const std::optional<TargetId> home = group_.homeOf(flowHashOf(flow));
-    if (home && home->value() != self().target()) {
-        sendOn(message, *home, false);
+    if (message.opening() && context_.ended.find(flow, fingerprintOf(flow.protocol, message.packet())) != nullptr) {
+        ++context_.counters.droppedCopies;
         return;
     }
-    if (!message.opening()) {
-        ++counters_.noFlow;
-        refuse(message, Refusal::Unknown);
-        return;
+    if (message.to_owner()) {
+        context_.clearOwner(message);
+        owned_.denyOwnership(flow);
     }
-    decide(now, flow, message);
+    home_.handle(now, flow, std::move(message));
 }
 
-void AgentCore::decide(Timestamp now, const FlowTuple &flow, const wire::Forward &message)
+void AgentCore::handle(Timestamp now, const wire::Query &message)
 {
-    const std::vector<TargetId> candidates = Placement::candidatesFor(flowHashOf(flow), roster());
-    Decision &decision = decisions_[flow];
-    decision.attempt = nextAttempt_++;
-    decision.changed = now;
-    decision.forward = message;
-    if (candidates.empty()) {
-        decision.state = Decision::State::Refused;
-        refuse(message, Refusal::NotRun);
-        return;
-    }
-    wire::Place place;
-    *place.mutable_forward() = message;
-    place.set_home(self().target());
-    place.set_home_incarnation(self().incarnation());
-    place.set_attempt(decision.attempt);
-    for (const TargetId candidate : candidates) {
-        place.add_candidates(candidate.value());
-    }
-    handle(now, settings_.address, place);
-}
-
-void AgentCore::handle(Timestamp now, const PeerAddress &from, const wire::Place &message)
-{
-    if (!service_ || message.forward().service() != service_->service()) {
-        ++counters_.wrongService;
-        return;
-    }
-    const FlowTuple flow = fromWire(message.forward().flow());
-    if (flows_.find(flow) != nullptr) {
-        sendPlaceResult(message, true);
-        return;
-    }
-    const bool canAccept = Placement::canAccept(self(), load(), settings_);
-    const bool isCandidate = !message.candidates().empty() && message.candidates(0) == self().target();
-    if (message.final()) {
-        const bool accepted = canAccept;
-        if (accepted) {
-            accept(now, flow, message.forward());
-        }
-        sendPlaceResult(message, accepted);
-        return;
-    }
-    wire::Place next = message;
-    if (isCandidate) {
-        if (canAccept && Placement::hasFreeSlot(load(), settings_)) {
-            accept(now, flow, message.forward());
-            sendPlaceResult(message, true);
-            return;
-        }
-        const std::uint64_t wait = Placement::expectedWait(load(), settings_);
-        if (canAccept && (!next.has_best() || wait < next.best().expected_wait_ms())) {
-            next.mutable_best()->set_target(self().target());
-            next.mutable_best()->set_expected_wait_ms(wait);
-        }
-        next.mutable_candidates()->erase(next.candidates().begin());
-    }
-    if (next.candidates().empty()) {
-        if (!next.has_best()) {
-            sendPlaceResult(message, false);
-            return;
-        }
-        next.set_final(true);
-        next.add_candidates(next.best().target());
-    }
-    const wire::TargetEntry *entry = roster().find(TargetId(next.candidates(0)));
-    if (entry == nullptr) {
-        sendPlaceResult(message, false);
-        return;
-    }
-    if (entry->target() == self().target()) {
-        handle(now, from, next);
+    const FlowTuple flow = fromWire(message.flow());
+    const std::optional<MemberKey> home = context_.memberKey(TargetId(message.home()));
+    if (!home || (!message.cancel() && message.roster_digest() != roster().digest())) {
+        // Without the same roster a "no" would not bind this agent to send the flow to the asking home.
         return;
     }
-    ++counters_.handedOn;
     wire::Envelope envelope;
-    *envelope.mutable_place() = std::move(next);
-    send(fromWire(entry->address()), std::move(envelope));
+    wire::QueryAnswer *answer = envelope.mutable_query_answer();
+    answer->set_service(message.service());
+    *answer->mutable_flow() = message.flow();
+    answer->set_target(context_.id().value());
+    answer->set_attempt(message.attempt());
+    answer->set_roster_digest(message.roster_digest());
+    answer->set_cancel(message.cancel());
+    const bool owns = owned_.describe(flow, message.fingerprint(), *answer);
+    if (message.cancel() && !owns) {
+        owned_.cancel(now, flow, *home, message.attempt());
+    }
+    if (!message.cancel() && !owns) {
+        outcomes_.describe(now, flow, message.fingerprint(), *answer);
+    }
+    context_.sendTo(home->target, std::move(envelope));
 }
 
-void AgentCore::handle(Timestamp now, const PeerAddress &from, const wire::PlaceResult &message)
+void AgentCore::handle(Timestamp now, const wire::RegisterAck &message)
 {
-    const FlowTuple flow = fromWire(message.flow());
-    const auto position = decisions_.find(flow);
-    if (position == decisions_.end()) {
+    const std::optional<Registrations::Batch> batch = registrations_.handle(message);
+    if (!batch) {
         return;
     }
-    Decision &decision = position->second;
-    if (decision.state != Decision::State::Pending || decision.attempt != message.attempt()) {
-        return;
+    for (const wire::Registration &fact : batch->facts) {
+        owned_.markRegistered(fact, batch->home);
+        outcomes_.markRegistered(fact, batch->home);
     }
-    decision.changed = now;
-    if (message.accepted()) {
-        decision.state = Decision::State::Placed;
-        decision.owner = TargetId(message.owner());
-        decision.ownerIncarnation = message.owner_incarnation();
-        tellOwner(decision.forward, decision.owner, decision.ownerIncarnation);
-    } else {
-        decision.state = Decision::State::Refused;
-        refuse(decision.forward, Refusal::NotRun);
-    }
-    decision.forward.Clear();
-}
-
-void AgentCore::handle(Timestamp now, const PeerAddress &from, const wire::FlowEnd &message)
-{
-    const auto position = decisions_.find(fromWire(message.flow()));
-    if (position != decisions_.end() && position->second.owner.value() == message.owner()) {
-        decisions_.erase(position);
+    for (const wire::Registration &fact : message.rejected()) {
+        FlowRecord *record = context_.flows.find(fromWire(fact.flow()));
+        if (record != nullptr && record->number.value() == fact.flow_number()
+            && fact.owner() == context_.id().value()) {
+            ++context_.counters.rejectedByHome;
+            owned_.end(now, *record, false);
+        }
     }
 }
 
 void AgentCore::handle(Timestamp now, const PeerAddress &from, const wire::Heartbeat &message)
 {
-    if (service_ && message.service() != service_->service()) {
-        ++counters_.wrongService;
+    if (!isOfService(message.service())) {
         return;
     }
-    if (!group_.handle(now, from, message)) {
-        ++counters_.staleIncarnation;
+    if (!context_.group.handle(now, from, message)) {
+        ++context_.counters.staleIncarnation;
     }
 }
 
-void AgentCore::handle(Timestamp now, const PeerAddress &from, const wire::AnnounceAck &message)
+void AgentCore::handle(Timestamp now, const wire::AnnounceAck &message)
 {
     if (message.target() != self().target() || message.incarnation() != self().incarnation()) {
-        ++counters_.staleIncarnation;
+        ++context_.counters.staleIncarnation;
         return;
     }
     if (message.configuration_revision() < configurationRevision_) {
         return;
     }
     configurationRevision_ = message.configuration_revision();
-    if (message.has_service()) {
-        service_ = message.service();
+    // A target that serves one service is not moved to another while it runs: its flows belong to the first.
+    if (message.has_service() && (!context_.service || context_.service->service() == message.service().service())) {
+        context_.service = message.service();
+        owned_.configure(message.service());
+        outcomes_.limits().configure(message.service().max_flows_per_client(), message.service().priority());
         for (const wire::TargetEntry &entry : message.members()) {
-            group_.learn(now, entry);
+            context_.group.learn(now, entry);
         }
-        group_.start(now, ServiceId(service_->service()), service_->at_most_once());
+        context_.group.start(now, ServiceId(message.service().service()), message.service().at_most_once());
         for (const std::uint64_t removed : message.removed()) {
-            group_.remove(now, TargetId(removed));
+            context_.group.remove(now, TargetId(removed));
         }
-        group_.tick(now, wireLoad());
+        context_.group.tick(now, load());
     }
     if (message.drain() && !isDraining()) {
-        beginDrain(now, now + Milliseconds(static_cast<std::int64_t>(message.drain_deadline_ms())));
+        drainStart_ = now;
+        drainDeadline_ = now + Milliseconds(static_cast<std::int64_t>(message.drain_deadline_ms()));
+        context_.group.beginDrain(now);
     }
 }
 
 void AgentCore::handleFromTarget(Timestamp now, const FlowTuple &flow, FlowNumber number, std::string packet)
 {
     now = advance(now);
-    FlowRecord *record = flows_.find(flow);
+    FlowRecord *record = context_.flows.find(flow);
     if (record == nullptr || record->number != number) {
-        ++counters_.lateFromTarget;
+        ++context_.counters.lateFromTarget;
         return;
     }
-    record->lastFromTarget = now;
-    flows_.touch(*record);
-    actions_.emplace_back(SendToCaller {std::move(packet)});
-    if (record->active && service_ && service_->request_kind()) {
-        record->active = false;
-        --activeFlows_;
-    }
+    owned_.handleFromTarget(now, *record, std::move(packet));
+    finishEvent(now);
 }
 
 void AgentCore::handleTargetClosed(Timestamp now, const FlowTuple &flow, FlowNumber number)
 {
     now = advance(now);
-    const FlowRecord *record = flows_.find(flow);
+    FlowRecord *record = context_.flows.find(flow);
     if (record != nullptr && record->number == number) {
-        endFlow(now, flow);
+        owned_.end(now, *record, false);
     }
+    finishEvent(now);
 }
 
 void AgentCore::tick(Timestamp now)
 {
     now = advance(now);
-    group_.tick(now, wireLoad());
-    group_.setRegistered(now);
-    if (now >= nextAnnounce_) {
-        announce(now);
-    }
+    context_.group.tick(now, load());
+    home_.tick(now);
     if (now >= nextExpiry_) {
         nextExpiry_ = now + ExpiryInterval;
-        expireFlows(now);
-        expireDecisions(now);
+        owned_.tick(now);
+        outcomes_.tick(now);
+    }
+    runColdStart(now);
+    runDrain(now);
+    owned_.collectLately(now, registrations_);
+    finishEvent(now);
+    registrations_.tick(now);
+    if (now >= nextAnnounce_) {
+        announce(now);
     }
 }
 
 void AgentCore::beginDrain(Timestamp now, Timestamp deadline)
 {
-    drainDeadline_ = deadline;
-    group_.beginDrain(now);
+    now = advance(now);
+    if (!isDraining()) {
+        drainStart_ = now;
+        context_.group.beginDrain(now);
+    }
+    drainDeadline_ = time_.translate(deadline);
+    finishEvent(now);
 }
 
-bool AgentCore::isDrained(Timestamp now) const
+std::vector<AgentAction> AgentCore::takeActions()
 {
-    return isDraining() && (flows_.size() == 0 || now >= *drainDeadline_);
+    if (self().state() != announcedState_) {
+        announce(now_);
+    }
+    for (SendMessage &message : context_.group.takeMessages(now_)) {
+        context_.actions.emplace_back(std::move(message));
+    }
+    return std::exchange(context_.actions, {});
 }
 
 Timestamp AgentCore::advance(Timestamp now)
@@ -321,186 +278,103 @@
     const std::uint64_t pauses = time_.pauses();
     now_ = time_.advance(now);
     if (time_.jumps() != jumps) {
-        group_.handleClockJump(now_);
+        context_.group.handleClockJump(now_);
     } else if (time_.pauses() != pauses) {
-        group_.handlePause(now_);
+        context_.group.handlePause(now_);
     }
     return now_;
 }
 
-std::vector<AgentAction> AgentCore::takeActions()
+bool AgentCore::isOfService(std::uint64_t service)
 {
-    if (self().state() != announcedState_) {
-        announce(now_);
-    }
-    for (SendMessage &message : group_.takeMessages(now_)) {
-        actions_.emplace_back(std::move(message));
-    }
-    return std::exchange(actions_, {});
-}
-
-void AgentCore::announce(Timestamp now)
-{
-    announcedState_ = self().state();
-    nextAnnounce_ = now + AnnounceInterval;
-    wire::Envelope envelope;
-    wire::Announce *message = envelope.mutable_announce();
-    *message->mutable_entry() = self();
-    *message->mutable_load() = wireLoad();
-    message->set_sent_ms(static_cast<std::uint64_t>(now.milliseconds()));
-    message->set_configuration_revision(configurationRevision_);
-    for (const PeerAddress &balancer : settings_.balancers) {
-        send(balancer, envelope);
+    if (context_.service && service == context_.service->service()) {
+        return true;
     }
+    ++context_.counters.wrongService;
+    return false;
 }
 
-void AgentCore::accept(Timestamp now, const FlowTuple &flow, const wire::Forward &message)
+void AgentCore::finishEvent(Timestamp now)
 {
-    FlowRecord &record = flows_.insert(flow, now);
-    record.active = true;
-    ++activeFlows_;
-    ++counters_.accepted;
-    deliver(now, record, message.packet());
-}
-
-void AgentCore::deliver(Timestamp now, FlowRecord &record, const std::string &packet)
-{
-    record.lastFromCaller = now;
-    flows_.touch(record);
-    ++counters_.delivered;
-    actions_.emplace_back(DeliverPacket {record.flow, record.number, packet});
-}
-
-void AgentCore::endFlow(Timestamp now, const FlowTuple &flow)
-{
-    const FlowRecord *record = flows_.find(flow);
-    if (record == nullptr) {
-        return;
-    }
-    if (record->active) {
-        --activeFlows_;
-    }
-    actions_.emplace_back(CloseFlow {flow, record->number});
-    flows_.erase(flow);
-    decisions_.erase(flow);
-    const std::optional<TargetId> home = group_.homeOf(flowHashOf(flow));
-    if (!home || home->value() == self().target()) {
-        return;
-    }
-    wire::Envelope envelope;
-    *envelope.mutable_flow_end()->mutable_flow() = toWire(flow);
-    envelope.mutable_flow_end()->set_service(self().service());
-    envelope.mutable_flow_end()->set_owner(self().target());
-    send(fromWire(roster().find(*home)->address()), std::move(envelope));
-}
-
-void AgentCore::expireFlows(Timestamp now)
-{
-    const Milliseconds idle = service_ && service_->idle_timeout_ms() > 0
-        ? Milliseconds(static_cast<std::int64_t>(service_->idle_timeout_ms()))
-        : DefaultIdleTimeout;
-    while (FlowRecord *record = flows_.oldest()) {
-        const Timestamp last = std::max(record->lastFromCaller, record->lastFromTarget);
-        if (now - last < idle) {
-            return;
+    do {
+        while (!context_.local.empty()) {
+            wire::Envelope message = std::move(context_.local.front());
+            context_.local.pop_front();
+            dispatch(now, context_.settings.address, std::move(message));
         }
-        endFlow(now, record->flow);
-    }
+        synchronize(now);
+    } while (!context_.local.empty());
 }
 
-void AgentCore::expireDecisions(Timestamp now)
+void AgentCore::synchronize(Timestamp now)
 {
-    for (auto position = decisions_.begin(); position != decisions_.end();) {
-        const Decision &decision = position->second;
-        const bool expired = decision.state != Decision::State::Placed && now - decision.changed >= DecisionRetention;
-        position = expired ? decisions_.erase(position) : std::next(position);
+    const bool afresh = collectedRejoins_ != context_.group.rejoins();
+    if (afresh || collectedVersion_ != context_.group.homeVersion()) {
+        collectedRejoins_ = context_.group.rejoins();
+        collectedVersion_ = context_.group.homeVersion();
+        registrations_.clear();
+        owned_.collect(now, registrations_, afresh);
+        outcomes_.collect(now, registrations_);
+        home_.tick(now);
+        registrations_.tick(now);
     }
-}
-
-void AgentCore::refuse(const wire::Forward &message, Refusal refusal)
-{
-    const auto parsed = parsePacket(message.packet());
-    if (const PacketInfo *info = std::get_if<PacketInfo>(&parsed)) {
-        ++counters_.refused;
-        actions_.emplace_back(SendToCaller {buildRefusal(message.packet(), *info, refusal)});
+    outcomes_.collectLately(now, registrations_);
+    if (!context_.group.isRegistered() && registrations_.isEmpty() && !home_.decidesForeignFlows()) {
+        context_.group.setRegistered(now);
     }
 }
 
-void AgentCore::sendOn(wire::Forward message, TargetId to, bool toOwner)
+void AgentCore::runDrain(Timestamp now)
 {
-    if (message.hops() >= MaximumHops) {
-        ++counters_.hopLimit;
+    if (!isDraining() || self().left()) {
         return;
     }
-    const wire::TargetEntry *entry = roster().find(to);
-    if (entry == nullptr || entry->state() == wire::GONE) {
-        ++counters_.noFlow;
-        refuse(message, Refusal::Unknown);
-        return;
+    if (now >= *drainDeadline_) {
+        owned_.endAll(now);
     }
-    ++counters_.forwarded;
-    wire::Envelope envelope;
-    message.set_hops(message.hops() + 1);
-    message.set_to_owner(toOwner);
-    message.set_target_incarnation(entry->incarnation());
-    *envelope.mutable_forward() = std::move(message);
-    send(fromWire(entry->address()), std::move(envelope));
-}
-
-void AgentCore::sendPlaceResult(const wire::Place &place, bool accepted)
-{
-    wire::Envelope envelope;
-    wire::PlaceResult *result = envelope.mutable_place_result();
-    *result->mutable_flow() = place.forward().flow();
-    result->set_service(place.forward().service());
-    result->set_attempt(place.attempt());
-    result->set_accepted(accepted);
-    if (accepted) {
-        result->set_owner(self().target());
-        result->set_owner_incarnation(self().incarnation());
-    }
-    if (place.home() == self().target()) {
-        handle(Timestamp(), settings_.address, *result);
-        return;
-    }
-    const wire::TargetEntry *home = roster().find(TargetId(place.home()));
-    if (home != nullptr) {
-        send(fromWire(home->address()), std::move(envelope));
+    const bool isComplete = now - *drainStart_ >= DrainLinger && context_.group.isRegistered();
+    if (context_.flows.size() == 0 && (isComplete || now >= *drainDeadline_ + DrainGrace)) {
+        context_.group.leave(now);
     }
 }
 
-void AgentCore::tellOwner(const wire::Forward &message, TargetId owner, std::uint64_t ownerIncarnation)
+void AgentCore::runColdStart(Timestamp now)
 {
-    const wire::TargetEntry *entry = roster().find(owner);
-    if (entry == nullptr || !message.has_balancer()) {
+    if (self().state() != wire::SERVING) {
+        servingSince_.reset();
         return;
     }
-    wire::Envelope envelope;
-    wire::FlowOwner *notice = envelope.mutable_flow_owner();
-    *notice->mutable_flow() = message.flow();
-    notice->set_owner(owner.value());
-    notice->set_owner_incarnation(ownerIncarnation);
-    *notice->mutable_owner_address() = entry->address();
-    send(fromWire(message.balancer()), std::move(envelope));
+    servingSince_ = servingSince_.value_or(now);
+    const std::int64_t duration = context_.settings.coldStart.count();
+    const std::int64_t served = (now - *servingSince_).count();
+    const std::int64_t step = served >= duration ? ColdStartSteps : 1 + served * (ColdStartSteps - 1) / duration;
+    const std::int64_t capacity = std::int64_t {context_.settings.capacityMilli} * step / ColdStartSteps;
+    context_.group.setCapacity(now, static_cast<std::uint32_t>(std::max<std::int64_t>(capacity, 1)));
 }
 
-void AgentCore::send(const PeerAddress &to, wire::Envelope message)
+void AgentCore::announce(Timestamp now)
 {
-    actions_.emplace_back(SendMessage {to, std::move(message)});
+    nextAnnounce_ = now + AnnounceInterval;
+    announcedState_ = self().state();
+    wire::Envelope envelope;
+    wire::Announce *message = envelope.mutable_announce();
+    *message->mutable_entry() = self();
+    *message->mutable_load() = load();
+    message->set_sent_ms(static_cast<std::uint64_t>(now.milliseconds()));
+    message->set_configuration_revision(configurationRevision_);
+    for (const PeerAddress &balancer : context_.settings.balancers) {
+        context_.send(balancer, wire::Envelope(envelope));
+    }
 }
 
-wire::Load AgentCore::wireLoad() const
+wire::Load AgentCore::load() const
 {
     wire::Load result;
-    result.set_busy_slots(std::min(activeFlows_, settings_.slots));
-    result.set_open_flows(static_cast<std::uint32_t>(flows_.size()));
-    result.set_expected_wait_ms(Placement::expectedWait(load(), settings_));
+    result.set_busy_slots(std::min(context_.activeFlows, context_.settings.slots));
+    result.set_queued(context_.activeFlows - result.busy_slots());
+    result.set_open_flows(static_cast<std::uint32_t>(context_.flows.size()));
+    result.set_expected_wait_ms(Placement::expectedWait(context_.load(), context_.settings));
     return result;
 }
 
-LocalLoad AgentCore::load() const
-{
-    return LocalLoad {activeFlows_, flows_.size()};
-}
-
 } // namespace rhubarblane
--- a/src/agent/agentsettings.h
+++ b/src/agent/agentsettings.h
@@ -30,6 +30,8 @@
     /** Requests that wait at the target before new ones are refused. */
     std::uint32_t queueLimit = 64;
     std::uint32_t flowLimit = 500000;
+    /** Time in which a target that starts to serve grows from a tenth to all of its announced capacity. */
+    Milliseconds coldStart;
     std::uint64_t seed = 1;
 };
 
--- /dev/null
+++ b/src/agent/decisionoutcomes.cpp
@@ -0,0 +1,314 @@
+#include "agent/decisionoutcomes.h"
+
+#include "agent/packetpeek.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+// Longer than the packet lifetime, so that a late copy of a refused opening packet still finds the refusal.
+constexpr Milliseconds RefusalRetention(60000);
+// A caller may use its port again soon where running a request twice does no harm.
+constexpr Milliseconds LostRetention(1000);
+constexpr Milliseconds CleaningInterval(1000);
+
+wire::Registration ownerFact(const FlowTuple &flow, const MemberKey &owner, std::uint64_t number, std::uint64_t print)
+{
+    wire::Registration fact;
+    *fact.mutable_flow() = toWire(flow);
+    fact.set_owner(owner.target.value());
+    fact.set_owner_incarnation(owner.incarnation);
+    fact.set_flow_number(number);
+    fact.set_fingerprint(print);
+    return fact;
+}
+
+} // namespace
+
+DecisionOutcomes::DecisionOutcomes(AgentContext &context)
+    : context_(context)
+{
+}
+
+void DecisionOutcomes::settle(Timestamp now, Decision &decision, Decision::State state)
+{
+    if (decision.isUndecided()) {
+        limits_.close(decision.flow.callerAddress);
+    }
+    table_.setState(now, decision, state);
+    if (context_.group.homeOf(flowHashOf(decision.flow)) != context_.id()) {
+        settledForeign_.push_back(decision.flow);
+    }
+}
+
+void DecisionOutcomes::settlePlaced(Timestamp now, Decision &decision, const MemberKey &owner, std::uint64_t number)
+{
+    // The opening packet of a flow that was being placed went with the Place message.
+    const bool isOpeningDelivered = decision.state != Decision::State::Waiting;
+    std::vector<wire::Forward> held = table_.takeHeld(decision);
+    decision.owner = owner;
+    decision.number = number;
+    settle(now, decision, Decision::State::Placed);
+    for (std::size_t i = 0; i < held.size(); ++i) {
+        if (i == 0) {
+            context_.tellOwner(held[i], owner);
+        }
+        if (i > 0 || !isOpeningDelivered) {
+            context_.sendOn(std::move(held[i]), owner.target, true);
+        }
+    }
+}
+
+void DecisionOutcomes::settleRefused(Timestamp now, Decision &decision)
+{
+    for (const wire::Forward &message : table_.takeHeld(decision)) {
+        context_.refuse(message.packet(), Refusal::NotRun);
+    }
+    settle(now, decision, Decision::State::Refused);
+}
+
+void DecisionOutcomes::settleLost(Timestamp now, Decision &decision)
+{
+    tellUnknown(decision);
+    settle(now, decision, Decision::State::Lost);
+}
+
+void DecisionOutcomes::tellUnknown(Decision &decision)
+{
+    const std::vector<wire::Forward> held = table_.takeHeld(decision);
+    if (!decision.told && !held.empty()) {
+        context_.refuse(held.front().packet(), Refusal::Unknown);
+        decision.told = true;
+    }
+}
+
+void DecisionOutcomes::drop(Decision &decision)
+{
+    if (decision.isUndecided()) {
+        limits_.close(decision.flow.callerAddress);
+    }
+    table_.erase(decision);
+}
+
+void DecisionOutcomes::handOn(Decision &decision, TargetId home)
+{
+    for (wire::Forward &message : table_.takeHeld(decision)) {
+        context_.sendOn(std::move(message), home, false);
+    }
+    drop(decision);
+}
+
+bool DecisionOutcomes::isStillFinal(Decision &decision, const wire::Forward &message)
+{
+    const bool isNewFlow = message.opening() && decision.flow.protocol == Protocol::Tcp
+        && fingerprintOf(decision.flow.protocol, message.packet()) != decision.fingerprint;
+    if (isNewFlow) {
+        return false;
+    }
+    const bool isRefused = decision.state == Decision::State::Refused;
+    decision.told = decision.told || !isRefused;
+    context_.refuse(message.packet(), isRefused ? Refusal::NotRun : Refusal::Unknown);
+    return true;
+}
+
+bool DecisionOutcomes::absorb(Timestamp now, const wire::Registration &fact)
+{
+    const FlowTuple flow = fromWire(fact.flow());
+    const MemberKey owner {TargetId(fact.owner()), fact.owner_incarnation()};
+    Decision *decision = table_.find(flow);
+    if (fact.ended()) {
+        context_.ended.add(now, EndedFlow {flow, fact.fingerprint(), owner, fact.flow_number(), now, std::nullopt});
+        if (decision == nullptr) {
+            return true;
+        }
+        const bool isPlaced = decision->state == Decision::State::Placed && decision->owner == owner
+            && decision->number <= fact.flow_number();
+        const bool isAwaited =
+            decision->state == Decision::State::Waiting && decision->fingerprint == fact.fingerprint();
+        if (isPlaced || isAwaited) {
+            drop(*decision);
+        }
+        return true;
+    }
+    if (!fact.refused() && !fact.lost()) {
+        return absorbOwner(now, flow, fact);
+    }
+    if (decision == nullptr) {
+        decision = &table_.insert(now, flow);
+        decision->opening = true;
+        decision->fingerprint = fact.fingerprint();
+        decision->told = fact.lost();
+        table_.setState(now, *decision, fact.refused() ? Decision::State::Refused : Decision::State::Lost);
+        return true;
+    }
+    if (decision->state == Decision::State::Waiting) {
+        decision->fingerprint = fact.fingerprint();
+        if (fact.refused()) {
+            settleRefused(now, *decision);
+        } else {
+            settleLost(now, *decision);
+        }
+    }
+    return true;
+}
+
+bool DecisionOutcomes::absorbOwner(Timestamp now, const FlowTuple &flow, const wire::Registration &fact)
+{
+    const MemberKey owner {TargetId(fact.owner()), fact.owner_incarnation()};
+    const bool isLive = context_.group.isLive(owner.target, owner.incarnation);
+    const EndedFlow *ended = context_.ended.find(flow, fact.fingerprint());
+    if (owner == context_.selfKey() || (ended != nullptr && ended->owner == owner)) {
+        return true;
+    }
+    if (context_.flows.find(flow) != nullptr) {
+        return false;
+    }
+    Decision *decision = table_.find(flow);
+    if (decision == nullptr) {
+        if (isLive) {
+            decision = &table_.insert(now, flow);
+            decision->opening = true;
+            decision->fingerprint = fact.fingerprint();
+            decision->owner = owner;
+            decision->number = fact.flow_number();
+            table_.setState(now, *decision, Decision::State::Placed);
+        }
+        return true;
+    }
+    switch (decision->state) {
+    case Decision::State::Waiting:
+        decision->fingerprint = fact.fingerprint();
+        if (isLive) {
+            settlePlaced(now, *decision, owner, fact.flow_number());
+        } else {
+            settleLost(now, *decision);
+        }
+        return true;
+    case Decision::State::Placing:
+    case Decision::State::Cancelling:
+        if (!isLive || decision->fingerprint != fact.fingerprint()) {
+            return false;
+        }
+        settlePlaced(now, *decision, owner, fact.flow_number());
+        return true;
+    case Decision::State::Placed:
+        if (decision->owner == owner) {
+            decision->number = std::max(decision->number, fact.flow_number());
+            return true;
+        }
+        return false;
+    default:
+        // The caller was told that the flow is over, or that it did not run.
+        return false;
+    }
+}
+
+bool DecisionOutcomes::describe(Timestamp now,
+                                const FlowTuple &flow,
+                                std::uint64_t fingerprint,
+                                wire::QueryAnswer &answer)
+{
+    if (const EndedFlow *ended = context_.ended.find(flow, fingerprint)) {
+        *answer.mutable_fact() = ownerFact(flow, ended->owner, ended->number, fingerprint);
+        answer.mutable_fact()->set_ended(true);
+        answer.set_known(true);
+        return true;
+    }
+    const Decision *decision = table_.find(flow);
+    if (decision == nullptr || decision->state == Decision::State::Waiting) {
+        return false;
+    }
+    answer.set_known(true);
+    answer.set_pending(decision->isUndecided());
+    *answer.mutable_fact() = factOf(now, *decision);
+    return true;
+}
+
+void DecisionOutcomes::collectLately(Timestamp now, Registrations &registrations)
+{
+    for (const FlowTuple &flow : settledForeign_) {
+        const Decision *decision = table_.find(flow);
+        const std::optional<TargetId> home = context_.group.homeOf(flowHashOf(flow));
+        const std::optional<MemberKey> key = home ? context_.memberKey(*home) : std::nullopt;
+        if (decision != nullptr && !decision->isUndecided() && key && *key != context_.selfKey()) {
+            registrations.add(*key, factOf(now, *decision));
+        }
+    }
+    settledForeign_.clear();
+}
+
+void DecisionOutcomes::collect(Timestamp now, Registrations &registrations)
+{
+    for (auto position = table_.placed().begin(); position != table_.placed().end();) {
+        Decision &decision = *position++;
+        if (!context_.group.isLive(decision.owner.target, decision.owner.incarnation)) {
+            table_.setState(now, decision, Decision::State::Lost);
+        }
+    }
+    for (const Decision &decision : table_.finals()) {
+        const std::optional<TargetId> home = context_.group.homeOf(flowHashOf(decision.flow));
+        const std::optional<MemberKey> key = home ? context_.memberKey(*home) : std::nullopt;
+        if (key && *key != context_.selfKey() && decision.registeredHome != key) {
+            registrations.add(*key, factOf(now, decision));
+        }
+    }
+}
+
+void DecisionOutcomes::markRegistered(const wire::Registration &fact, const MemberKey &home)
+{
+    Decision *decision = table_.find(fromWire(fact.flow()));
+    if (decision != nullptr && decision->isFinal()) {
+        decision->registeredHome = home;
+    }
+}
+
+void DecisionOutcomes::tick(Timestamp now)
+{
+    if (now < nextCleaning_) {
+        return;
+    }
+    nextCleaning_ = now + CleaningInterval;
+    const Milliseconds lostRetention = context_.isAtMostOnce() ? MajorityLease + PacketLifetime : LostRetention;
+    for (auto position = table_.finals().begin(); position != table_.finals().end();) {
+        Decision &decision = *position++;
+        const Milliseconds retention = decision.state == Decision::State::Refused ? RefusalRetention : lostRetention;
+        if (now - decision.changed >= retention) {
+            table_.erase(decision);
+        }
+    }
+    dropForeign();
+}
+
+void DecisionOutcomes::dropForeign()
+{
+    // Once all owners have registered by a roster that gives a flow another home, an old decision of it is only in
+    // the way: its owner would not tell this agent when the flow ends.
+    const std::uint64_t digest = context_.group.roster().digest();
+    if (digest == cleanedDigest_ || context_.group.hasSilentMembers()
+        || !context_.group.unregisteredMembers().empty()) {
+        return;
+    }
+    cleanedDigest_ = digest;
+    for (auto position = table_.placed().begin(); position != table_.placed().end();) {
+        Decision &decision = *position++;
+        if (context_.group.homeOf(flowHashOf(decision.flow)) != context_.id()) {
+            table_.erase(decision);
+        }
+    }
+}
+
+wire::Registration DecisionOutcomes::factOf(Timestamp now, const Decision &decision) const
+{
+    wire::Registration fact = ownerFact(decision.flow, decision.owner, decision.number, decision.fingerprint);
+    fact.set_refused(decision.state == Decision::State::Refused);
+    fact.set_lost(decision.state == Decision::State::Lost);
+    fact.set_age_ms(static_cast<std::uint64_t>((now - decision.changed).count()));
+    return fact;
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/agent/flowhome.h
@@ -0,0 +1,45 @@
+#ifndef RHUBARBLANE_AGENT_FLOWHOME_H
+#define RHUBARBLANE_AGENT_FLOWHOME_H
+
+#include "agent/agentcontext.h"
+#include "agent/decisionoutcomes.h"
+
+namespace rhubarblane
+{
+
+/** The home's part: finds or decides the owner of each flow of its share and remembers the decision. */
+class FlowHome
+{
+public:
+    FlowHome(AgentContext &context, DecisionOutcomes &outcomes);
+
+    /** Handles a packet of a flow that this agent does not own. */
+    void handle(Timestamp now, const FlowTuple &flow, wire::Forward &&message);
+    void handle(Timestamp now, const wire::PlaceResult &message);
+    void handle(Timestamp now, const wire::FlowEnd &message);
+    void handle(Timestamp now, const wire::QueryAnswer &message);
+    /** Takes over facts from another member and acknowledges them. */
+    void handle(Timestamp now, const wire::Register &message);
+
+    /** True while flows are being placed whose home is another member by now. */
+    bool decidesForeignFlows();
+
+    /** Retries, timeouts and expiry. */
+    void tick(Timestamp now);
+
+private:
+    void hold(Decision &decision, wire::Forward &&message);
+    void evaluate(Timestamp now, Decision &decision);
+    void query(Timestamp now, Decision &decision, const std::vector<TargetId> &members);
+    void place(Timestamp now, Decision &decision);
+    void cancel(Timestamp now, Decision &decision);
+
+    AgentContext &context_;
+    DecisionOutcomes &outcomes_;
+    DecisionTable &decisions_;
+    std::uint64_t nextAttempt_;
+};
+
+} // namespace rhubarblane
+
+#endif
--- a/src/agent/flowtable.h
+++ b/src/agent/flowtable.h
@@ -60,6 +60,7 @@
     bool halfOpen = false;
     bool finFromCaller = false;
     bool finFromTarget = false;
+    bool closing = false;
     bool answered = false;
 };
 
--- a/src/agent/groupview.cpp
+++ b/src/agent/groupview.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace rhubarblane
 {
@@ -52,9 +53,7 @@
     gone.set_state(wire::GONE);
     gone.set_sequence(gone.sequence() + 1);
     gone.set_state_sequence(roster_.highestStateSequence() + 1);
-    for (auto position = confirmed_.begin(); position != confirmed_.end();) {
-        position = position->first == target.value() ? confirmed_.erase(position) : std::next(position);
-    }
+    majority_.remove(target);
     merge(now, gone);
 }
 
@@ -142,6 +141,7 @@
     for (auto &[target, peer] : peers_) {
         peer.lastContact = now;
     }
+    homeVersion_ += !atMostOnce_ && !suspected_.empty() ? 1 : 0;
     suspected_.clear();
     // The answers renew the evidence sooner than the next round of heartbeats.
     broadcastDue_ = true;
@@ -153,14 +153,13 @@
     for (auto &[target, peer] : peers_) {
         peer.evidence.reset();
     }
-    for (auto &[target, end] : quarantineEnd_) {
-        end = now + MajorityLease + PacketLifetime;
-    }
+    quarantine_.restart(now);
     handlePause(now);
 }
 
 void GroupView::beginDrain(Timestamp now)
 {
+    draining_ = true;
     if (self_.state() == wire::SERVING) {
         changeState(now, wire::DRAINING);
     }
@@ -201,33 +200,13 @@
     if (!isVoter(self_) || superseded_) {
         return false;
     }
-    const auto isCounted = [&](const VoterKey &key) {
-        if (key.first == self_.target()) {
+    return majority_.confirm(roster_, [&](std::uint64_t target) {
+        if (target == self_.target()) {
             return true;
         }
-        const auto peer = peers_.find(key.first);
+        const auto peer = peers_.find(target);
         return peer != peers_.end() && peer->second.evidence && now - *peer->second.evidence < MajorityLease;
-    };
-    const auto isMajorityOf = [&](const std::set<VoterKey> &members) {
-        std::size_t counted = 0;
-        std::size_t all = 0;
-        for (const VoterKey &key : members) {
-            const wire::TargetEntry *entry = roster_.find(TargetId(key.first));
-            // A member that left or was replaced under its name decides nothing more.
-            if (entry == nullptr || entry->incarnation() > key.second || entry->left()) {
-                continue;
-            }
-            ++all;
-            counted += entry->state() != wire::GONE && isCounted(key) ? 1 : 0;
-        }
-        return counted * 2 > all;
-    };
-    const std::set<VoterKey> current = voters();
-    if (!isMajorityOf(current) || (!confirmed_.empty() && !isMajorityOf(confirmed_))) {
-        return false;
-    }
-    confirmed_ = current;
-    return true;
+    });
 }
 
 bool GroupView::hasRegistered(TargetId member) const
@@ -236,17 +215,33 @@
     return peer != peers_.end() && peer->second.registeredDigest == roster_.digest();
 }
 
+bool GroupView::mayKnowFlows(const wire::TargetEntry &entry) const
+{
+    const bool isFresh = entry.state() == wire::JOINING && !entry.rejoined();
+    const bool isPassedOver = !atMostOnce_ && std::binary_search(suspected_.begin(), suspected_.end(), entry.target());
+    return entry.target() != self_.target() && entry.state() != wire::GONE && !isFresh && !isPassedOver;
+}
+
 std::vector<TargetId> GroupView::unregisteredMembers() const
 {
     std::vector<TargetId> result;
     for (const wire::TargetEntry &entry : roster_.entries()) {
-        const bool isFresh = entry.state() == wire::JOINING && !entry.rejoined();
-        if (entry.target() == self_.target() || entry.state() == wire::GONE || isFresh) {
-            continue;
+        if (mayKnowFlows(entry) && !hasRegistered(TargetId(entry.target()))) {
+            result.emplace_back(entry.target());
         }
-        const bool isPassedOver =
-            !atMostOnce_ && std::binary_search(suspected_.begin(), suspected_.end(), entry.target());
-        if (!isPassedOver && !hasRegistered(TargetId(entry.target()))) {
+    }
+    return result;
+}
+
+std::vector<TargetId> GroupView::membersToAsk(FlowHash flow) const
+{
+    if (suspected_.empty() || atMostOnce_ || roster_.homeOf(flow) == id()) {
+        return unregisteredMembers();
+    }
+    // The flow's home is silent and passed over: its owner has registered it there.
+    std::vector<TargetId> result;
+    for (const wire::TargetEntry &entry : roster_.entries()) {
+        if (mayKnowFlows(entry)) {
             result.emplace_back(entry.target());
         }
     }
@@ -255,24 +250,20 @@
 
 std::optional<TargetId> GroupView::homeOf(FlowHash flow) const
 {
-    static const std::vector<std::uint64_t> None;
-    return roster_.homeOf(flow, atMostOnce_ ? None : suspected_);
+    static const std::vector<std::uint64_t> none;
+    return roster_.homeOf(flow, atMostOnce_ ? none : suspected_);
 }
 
 bool GroupView::isInQuarantine(Timestamp now, FlowHash flow) const
 {
-    if (!atMostOnce_) {
-        return false;
-    }
-    return std::any_of(quarantineEnd_.begin(), quarantineEnd_.end(), [&](const auto &item) {
-        return now < item.second && roster_.wouldBeHome(flow, TargetId(item.first));
-    });
+    return atMostOnce_
+        && quarantine_.containsAny(now, [&](TargetId target) { return roster_.wouldBeHome(flow, target); });
 }
 
 bool GroupView::hasUndecidedSilence() const
 {
     // In a group of two nobody can declare the other gone; its callers must not wait for ever.
-    return !suspected_.empty() && voters().size() > 2;
+    return !suspected_.empty() && voterCount() > 2;
 }
 
 bool GroupView::isQuiet(Timestamp now, TargetId member) const
@@ -320,8 +311,7 @@
     const bool wasLost = isGone && !entry.left() && (isNew || wasMember);
     const bool wasReplaced = wasMember && previousIncarnation != entry.incarnation();
     if (wasLost || wasReplaced) {
-        // The member may have decided until its lease ended, and copies of those packets live on.
-        quarantineEnd_[entry.target()] = now + MajorityLease + PacketLifetime;
+        quarantine_.add(now, entry.target());
     }
     if (!isGone) {
         peer.goneSince.reset();
@@ -348,7 +338,7 @@
     if (entry.state() == wire::GONE) {
         // The others go on without this member's decisions; it has to be admitted again and to register all flows.
         ++rejoins_;
-        confirmed_.clear();
+        majority_.forget();
         self_.set_rejoined(true);
         changeState(now, wire::JOINING);
     } else {
@@ -371,6 +361,7 @@
         return;
     }
     evidenceDigest_ = roster_.digest();
+    ++homeVersion_;
     for (auto &[target, peer] : peers_) {
         peer.evidence.reset();
         peer.hasMajority = false;
@@ -380,12 +371,13 @@
 
 void GroupView::updateSuspicion(Timestamp now)
 {
-    suspected_.clear();
+    const std::vector<std::uint64_t> before = std::exchange(suspected_, {});
     for (const wire::TargetEntry &entry : roster_.entries()) {
         if (entry.target() != self_.target() && entry.state() != wire::GONE && isSilent(now, entry)) {
             suspected_.push_back(entry.target());
         }
     }
+    homeVersion_ += !atMostOnce_ && suspected_ != before ? 1 : 0;
 }
 
 void GroupView::declareGone(Timestamp now)
@@ -404,7 +396,7 @@
 
 void GroupView::admitSelf(Timestamp now)
 {
-    if (self_.state() != wire::JOINING || !started_ || superseded_) {
+    if (self_.state() != wire::JOINING || !started_ || superseded_ || draining_) {
         return;
     }
     bool hasLiveVoter = false;
@@ -414,7 +406,7 @@
         }
         const Peer &peer = peers_[entry.target()];
         if (peer.hasMajority && peer.evidence && now - *peer.evidence < MajorityLease) {
-            confirmed_ = voters();
+            majority_.assume(roster_);
             changeState(now, wire::SERVING);
             return;
         }
@@ -433,7 +425,7 @@
         }
     }
     changeState(now, wire::SERVING);
-    confirmed_ = {{self_.target(), self_.incarnation()}};
+    majority_.assume(roster_);
 }
 
 void GroupView::forgetGone(Timestamp now)
@@ -446,9 +438,7 @@
             ++position;
         }
     }
-    for (auto position = quarantineEnd_.begin(); position != quarantineEnd_.end();) {
-        position = now >= position->second ? quarantineEnd_.erase(position) : std::next(position);
-    }
+    quarantine_.expire(now);
 }
 
 void GroupView::broadcast(Timestamp now)
@@ -484,8 +474,7 @@
         message->set_echo_sent_ms(peer->second.lastSentMs);
     }
     // A returning member is not admitted while copies of packets that it may have decided are under way.
-    const auto quarantine = quarantineEnd_.find(to.target());
-    const bool isWithheld = atMostOnce_ && quarantine != quarantineEnd_.end() && now < quarantine->second;
+    const bool isWithheld = atMostOnce_ && quarantine_.contains(now, to.target());
     message->set_has_majority(!isWithheld && hasMajority(now));
     if (withEntries) {
         for (const wire::TargetEntry &entry : roster_.entries()) {
@@ -501,15 +490,9 @@
     return peer != peers_.end() && now - peer->second.lastContact >= SilenceBeforeGone;
 }
 
-std::set<GroupView::VoterKey> GroupView::voters() const
+std::size_t GroupView::voterCount() const
 {
-    std::set<VoterKey> result;
-    for (const wire::TargetEntry &entry : roster_.entries()) {
-        if (isVoter(entry)) {
-            result.emplace(entry.target(), entry.incarnation());
-        }
-    }
-    return result;
+    return static_cast<std::size_t>(std::count_if(roster_.entries().begin(), roster_.entries().end(), isVoter));
 }
 
 } // namespace rhubarblane
--- a/src/agent/groupview.h
+++ b/src/agent/groupview.h
@@ -3,21 +3,18 @@
 
 #include "agent/agentaction.h"
 #include "agent/grouproster.h"
+#include "agent/majorityrule.h"
+#include "agent/quarantine.h"
 #include "base/clock.h"
 
 #include <map>
 #include <optional>
-#include <set>
 #include <utility>
 #include <vector>
 
 namespace rhubarblane
 {
 
-/** Time that a packet is assumed to survive in the network. */
-constexpr Milliseconds PacketLifetime(10000);
-/** Time for which evidence of a majority is valid. */
-constexpr Milliseconds MajorityLease(2000);
 /** Silence after which a member is declared gone. */
 constexpr Milliseconds SilenceBeforeGone(4000);
 
@@ -74,6 +71,15 @@
     /** The members that may know flows that are not registered at their homes yet. */
     std::vector<TargetId> unregisteredMembers() const;
 
+    /** The members that this home has to ask about a flow before it decides. */
+    std::vector<TargetId> membersToAsk(FlowHash flow) const;
+
+    /** Changes whenever flows may have got another home. */
+    std::uint64_t homeVersion() const
+    {
+        return homeVersion_;
+    }
+
     /** The member that decides a flow. Without `atMostOnce` silent members are passed over. */
     std::optional<TargetId> homeOf(FlowHash flow) const;
 
@@ -83,6 +89,11 @@
     /** True if a member is silent but not declared gone, so that its flows are not known to have ended. */
     bool hasUndecidedSilence() const;
 
+    bool hasSilentMembers() const
+    {
+        return !suspected_.empty();
+    }
+
     /** True for a member that has missed several heartbeats; new flows go elsewhere if possible. */
     bool isQuiet(Timestamp now, TargetId member) const;
 
@@ -132,7 +143,6 @@
         wire::Load load;
         std::optional<Timestamp> goneSince;
     };
-    using VoterKey = std::pair<std::uint64_t, std::uint64_t>;
 
     bool merge(Timestamp now, const wire::TargetEntry &entry);
     void mergeOwn(Timestamp now, const wire::TargetEntry &entry);
@@ -144,19 +154,20 @@
     void forgetGone(Timestamp now);
     void broadcast(Timestamp now);
     void sendHeartbeat(Timestamp now, const wire::TargetEntry &to, bool withEntries, bool reply, bool wantEntries);
+    bool mayKnowFlows(const wire::TargetEntry &entry) const;
     bool isSilent(Timestamp now, const wire::TargetEntry &entry) const;
-    std::set<VoterKey> voters() const;
+    std::size_t voterCount() const;
 
     wire::TargetEntry self_;
     GroupRoster roster_;
     std::map<std::uint64_t, Peer> peers_;
-    /** Voters of the last roster that a majority shared; two successive rosters must both have a majority. */
-    std::set<VoterKey> confirmed_;
+    MajorityRule majority_;
     std::vector<std::uint64_t> suspected_;
-    std::map<std::uint64_t, Timestamp> quarantineEnd_;
+    Quarantine quarantine_;
     wire::Load load_;
     std::uint64_t registeredDigest_ = 0;
     std::uint64_t evidenceDigest_ = 0;
+    std::uint64_t homeVersion_ = 0;
     std::uint64_t rejoins_ = 0;
     Timestamp evidenceFloor_;
     Timestamp nextHeartbeat_;
@@ -164,6 +175,7 @@
     bool started_ = false;
     bool atMostOnce_ = false;
     bool broadcastDue_ = false;
+    bool draining_ = false;
     bool superseded_ = false;
     std::vector<SendMessage> messages_;
 };
--- /dev/null
+++ b/src/agent/majorityrule.cpp
@@ -0,0 +1,63 @@
+#include "agent/majorityrule.h"
+
+#include <iterator>
+
+namespace rhubarblane
+{
+
+bool MajorityRule::confirm(const GroupRoster &roster, const Evidence &hasRoster)
+{
+    Voters current = votersOf(roster);
+    if (!isMajority(current, roster, hasRoster)
+        || (!confirmed_.empty() && !isMajority(confirmed_, roster, hasRoster))) {
+        return false;
+    }
+    confirmed_ = std::move(current);
+    return true;
+}
+
+void MajorityRule::assume(const GroupRoster &roster)
+{
+    confirmed_ = votersOf(roster);
+}
+
+void MajorityRule::forget()
+{
+    confirmed_.clear();
+}
+
+void MajorityRule::remove(TargetId target)
+{
+    for (auto position = confirmed_.begin(); position != confirmed_.end();) {
+        position = position->first == target.value() ? confirmed_.erase(position) : std::next(position);
+    }
+}
+
+MajorityRule::Voters MajorityRule::votersOf(const GroupRoster &roster)
+{
+    Voters result;
+    for (const wire::TargetEntry &entry : roster.entries()) {
+        if (isVoter(entry)) {
+            result.emplace(entry.target(), entry.incarnation());
+        }
+    }
+    return result;
+}
+
+bool MajorityRule::isMajority(const Voters &voters, const GroupRoster &roster, const Evidence &hasRoster)
+{
+    std::size_t counted = 0;
+    std::size_t all = 0;
+    for (const auto &[target, incarnation] : voters) {
+        const wire::TargetEntry *entry = roster.find(TargetId(target));
+        // A member that left or was replaced under its name decides nothing more.
+        if (entry == nullptr || entry->incarnation() > incarnation || entry->left()) {
+            continue;
+        }
+        ++all;
+        counted += entry->state() != wire::GONE && hasRoster(target) ? 1 : 0;
+    }
+    return counted * 2 > all;
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/agent/ownedflows.cpp
@@ -0,0 +1,424 @@
+#include "agent/ownedflows.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+constexpr Milliseconds DefaultIdleTimeout(60000);
+// Both sides have sent FIN: long enough for repeated segments of the closing handshake.
+constexpr Milliseconds ClosedLinger(2000);
+
+} // namespace
+
+OwnedFlows::OwnedFlows(AgentContext &context)
+    : context_(context)
+    , admission_(context.settings)
+{
+}
+
+void OwnedFlows::configure(const wire::ServiceSettings &service)
+{
+    halfOpen_.configure(service.max_flows_per_client(), service.priority());
+    admission_.queueLimit = shareOfPriority(context_.settings.queueLimit, service.priority());
+}
+
+void OwnedFlows::handle(Timestamp now, wire::Place &&message)
+{
+    if (!context_.service || message.forward().service() != context_.service->service()) {
+        ++context_.counters.wrongService;
+        return;
+    }
+    const MemberKey home {TargetId(message.home()), message.home_incarnation()};
+    if (!context_.group.isLive(home.target, home.incarnation)) {
+        // The members that took the home for gone rely on this agent not accepting flows from it.
+        ++context_.counters.staleIncarnation;
+        return;
+    }
+    const FlowTuple flow = fromWire(message.forward().flow());
+    const std::uint64_t fingerprint = fingerprintOf(flow.protocol, message.forward().packet());
+    if (FlowRecord *record = context_.flows.find(flow)) {
+        sendResult(message, true, record->number.value());
+        if (record->fingerprint != fingerprint) {
+            deliver(now, *record, std::move(*message.mutable_forward()->mutable_packet()));
+        }
+        return;
+    }
+    if (const EndedFlow *ended = context_.ended.find(flow, fingerprint)) {
+        ++context_.counters.droppedCopies;
+        if (ended->owner == context_.selfKey()) {
+            sendResult(message, true, ended->number);
+            sendEnd(flow, home.target, ended->number);
+        }
+        return;
+    }
+    const PlaceLog::Stage stage = message.final() ? PlaceLog::Stage::Final : PlaceLog::Stage::Offered;
+    if (placeLog_.isNoted(flow, home, message.attempt(), stage)) {
+        ++context_.counters.droppedCopies;
+        return;
+    }
+    const bool isAsked = !message.candidates().empty() && message.candidates(0) == context_.id().value();
+    if (!isAsked) {
+        ++context_.counters.malformed;
+        return;
+    }
+    const bool canAccept = !context_.group.isSuperseded()
+        && Placement::canAccept(context_.group.self(), context_.load(), admission_)
+        && context_.ended.size() < context_.settings.flowLimit;
+    const bool takes = canAccept && (message.final() || Placement::hasFreeSlot(context_.load(), admission_));
+    const bool isTcp = flow.protocol == Protocol::Tcp;
+    if (takes && (!isTcp || halfOpen_.tryOpen(flow.callerAddress))) {
+        accept(now, flow, message);
+        return;
+    }
+    context_.counters.limited += takes ? 1 : 0;
+    placeLog_.note(now, flow, home, message.attempt(), stage);
+    if (message.final()) {
+        sendResult(message, false, 0);
+        return;
+    }
+    if (canAccept && !takes) {
+        const std::uint64_t wait = Placement::expectedWait(context_.load(), admission_);
+        if (!message.has_best() || wait < message.best().expected_wait_ms()) {
+            message.mutable_best()->set_target(context_.id().value());
+            message.mutable_best()->set_expected_wait_ms(wait);
+        }
+    }
+    passOn(now, std::move(message));
+}
+
+void OwnedFlows::passOn(Timestamp now, wire::Place &&message)
+{
+    auto *candidates = message.mutable_candidates();
+    candidates->erase(candidates->begin());
+    while (!candidates->empty() && !context_.memberKey(TargetId(message.candidates(0)))) {
+        candidates->erase(candidates->begin());
+    }
+    if (candidates->empty()) {
+        if (!message.has_best() || !context_.memberKey(TargetId(message.best().target()))) {
+            sendResult(message, false, 0);
+            return;
+        }
+        message.set_final(true);
+        message.add_candidates(message.best().target());
+    }
+    ++context_.counters.handedOn;
+    const TargetId next(message.candidates(0));
+    wire::Envelope envelope;
+    *envelope.mutable_place() = std::move(message);
+    context_.sendTo(next, std::move(envelope));
+}
+
+void OwnedFlows::accept(Timestamp now, const FlowTuple &flow, wire::Place &message)
+{
+    std::string packet = std::move(*message.mutable_forward()->mutable_packet());
+    FlowRecord &record = context_.flows.insert(flow, now);
+    record.fingerprint = fingerprintOf(flow.protocol, packet);
+    if (context_.group.homeOf(flowHashOf(flow)) == TargetId(message.home())) {
+        record.registeredHome = MemberKey {TargetId(message.home()), message.home_incarnation()};
+    } else {
+        acceptedForeign_.push_back(flow);
+    }
+    record.halfOpen = flow.protocol == Protocol::Tcp;
+    ++context_.counters.accepted;
+    setActive(record, context_.service->request_kind());
+    sendResult(message, true, record.number.value());
+    // Not through deliver(): there the opening packet counts as a copy.
+    const PacketPeek peek = peekPacket(flow.protocol, packet);
+    record.callerSequence = peek.sequence + peek.payloadSize + (peek.syn ? 1 : 0);
+    silence_.fromCaller(now, record, peek, flow.protocol == Protocol::Tcp || context_.service->request_kind());
+    ++context_.counters.delivered;
+    context_.actions.emplace_back(DeliverPacket {flow, record.number, std::move(packet)});
+}
+
+void OwnedFlows::deliver(Timestamp now, FlowRecord &record, std::string &&packet)
+{
+    const bool isTcp = record.flow.protocol == Protocol::Tcp;
+    // TCP handles copies end to end; a copy of a UDP request would run it twice.
+    if (!isTcp && context_.isAtMostOnce() && now - record.opened < MajorityLease + PacketLifetime
+        && fingerprintOf(record.flow.protocol, packet) == record.fingerprint) {
+        ++context_.counters.droppedCopies;
+        return;
+    }
+    const PacketPeek peek = peekPacket(record.flow.protocol, packet);
+    record.lastFromCaller = now;
+    context_.flows.touch(record);
+    if (isTcp) {
+        record.callerSequence = peek.sequence + static_cast<std::uint32_t>(peek.payloadSize) + (peek.fin ? 1 : 0);
+        record.callerAcknowledgement = peek.acknowledgement;
+        if (record.halfOpen && peek.ack && !peek.syn) {
+            established(record);
+        }
+        record.finFromCaller = record.finFromCaller || peek.fin;
+        noteClosing(now, record);
+    } else if (context_.service && context_.service->request_kind()) {
+        setActive(record, true);
+    }
+    const bool expectsAnswer =
+        isTcp ? peek.expectsAnswer() : record.answered || (context_.service && context_.service->request_kind());
+    silence_.fromCaller(now, record, peek, expectsAnswer);
+    ++context_.counters.delivered;
+    context_.actions.emplace_back(DeliverPacket {record.flow, record.number, std::move(packet)});
+    if (peek.reset) {
+        end(now, record, false);
+    }
+}
+
+void OwnedFlows::handleFromTarget(Timestamp now, FlowRecord &record, std::string &&packet)
+{
+    const bool isTcp = record.flow.protocol == Protocol::Tcp;
+    const PacketPeek peek = isTcp ? peekPacket(record.flow.protocol, packet) : PacketPeek();
+    record.lastFromTarget = now;
+    record.answered = true;
+    record.finFromTarget = record.finFromTarget || peek.fin;
+    context_.flows.touch(record);
+    noteClosing(now, record);
+    silence_.fromTarget(now, record, peek);
+    context_.actions.emplace_back(SendToCaller {std::move(packet)});
+    if (!isTcp || peek.fin) {
+        setActive(record, false);
+    }
+    if (peek.reset) {
+        end(now, record, false);
+    }
+}
+
+bool OwnedFlows::describe(const FlowTuple &flow, std::uint64_t fingerprint, wire::QueryAnswer &answer)
+{
+    if (const FlowRecord *record = context_.flows.find(flow)) {
+        answer.set_known(true);
+        *answer.mutable_fact() = factOf(flow, record->number.value(), record->fingerprint);
+        return true;
+    }
+    const EndedFlow *ended = context_.ended.find(flow, fingerprint);
+    if (ended == nullptr || ended->owner != context_.selfKey()) {
+        return false;
+    }
+    answer.set_known(true);
+    *answer.mutable_fact() = factOf(flow, ended->number, fingerprint);
+    answer.mutable_fact()->set_ended(true);
+    return true;
+}
+
+void OwnedFlows::cancel(Timestamp now, const FlowTuple &flow, const MemberKey &home, std::uint64_t attempt)
+{
+    placeLog_.note(now, flow, home, attempt, PlaceLog::Stage::Final);
+}
+
+void OwnedFlows::end(Timestamp now, FlowRecord &record, bool tellCaller)
+{
+    const FlowTuple flow = record.flow;
+    const std::uint64_t number = record.number.value();
+    if (tellCaller) {
+        ++context_.counters.unknown;
+        PacketInfo info;
+        info.flow = flow;
+        info.ack = true;
+        info.sequence = record.callerSequence;
+        info.acknowledgement = record.callerAcknowledgement;
+        const std::string quoted = flow.protocol == Protocol::Udp ? buildUdpRequest(flow, "") : std::string();
+        context_.actions.emplace_back(SendToCaller {buildRefusal(quoted, info, Refusal::Unknown)});
+    }
+    setActive(record, false);
+    established(record);
+    context_.actions.emplace_back(CloseFlow {flow, record.number});
+    context_.ended.add(now, EndedFlow {flow, record.fingerprint, context_.selfKey(), number, now, std::nullopt});
+    const std::uint64_t fingerprint = record.fingerprint;
+    context_.flows.erase(flow);
+    endedLately_.emplace_back(flow, fingerprint);
+    sendEnd(flow, context_.id(), number);
+    const std::optional<TargetId> home = context_.group.homeOf(flowHashOf(flow));
+    if (home && *home != context_.id()) {
+        sendEnd(flow, *home, number);
+    }
+}
+
+void OwnedFlows::denyOwnership(const FlowTuple &flow)
+{
+    const std::optional<TargetId> home = context_.group.homeOf(flowHashOf(flow));
+    if (home && *home != context_.id()) {
+        sendEnd(flow, *home, context_.flows.lastNumber().value());
+    }
+}
+
+void OwnedFlows::endAll(Timestamp now)
+{
+    while (FlowRecord *record = context_.flows.oldest()) {
+        ++context_.counters.cutByDrain;
+        end(now, *record, true);
+    }
+}
+
+void OwnedFlows::collect(Timestamp now, Registrations &registrations, bool afresh)
+{
+    const auto homeKeyOf = [&](const FlowTuple &flow) -> std::optional<MemberKey> {
+        const std::optional<TargetId> home = context_.group.homeOf(flowHashOf(flow));
+        return home ? context_.memberKey(*home) : std::nullopt;
+    };
+    context_.flows.forEach([&](FlowRecord &record) {
+        if (afresh) {
+            record.registeredHome.reset();
+        }
+        const std::optional<MemberKey> home = homeKeyOf(record.flow);
+        if (!home || record.registeredHome == home) {
+            return;
+        }
+        if (*home == context_.selfKey()) {
+            record.registeredHome = home;
+        } else {
+            registrations.add(*home, factOf(record.flow, record.number.value(), record.fingerprint));
+        }
+    });
+    context_.ended.forEach([&](EndedFlow &ended) {
+        const std::optional<MemberKey> home = homeKeyOf(ended.flow);
+        if (!home || *home == context_.selfKey() || ended.registeredHome == home) {
+            return;
+        }
+        wire::Registration fact = factOf(ended.flow, ended.number, ended.fingerprint);
+        fact.set_owner(ended.owner.target.value());
+        fact.set_owner_incarnation(ended.owner.incarnation);
+        fact.set_ended(true);
+        registrations.add(*home, std::move(fact));
+    });
+    endedLately_.clear();
+    acceptedForeign_.clear();
+}
+
+void OwnedFlows::collectLately(Timestamp now, Registrations &registrations)
+{
+    for (const auto &[flow, fingerprint] : endedLately_) {
+        const std::optional<TargetId> home = context_.group.homeOf(flowHashOf(flow));
+        const std::optional<MemberKey> key = home ? context_.memberKey(*home) : std::nullopt;
+        const EndedFlow *ended = context_.ended.find(flow, fingerprint);
+        if (ended == nullptr || !key || *key == context_.selfKey()) {
+            continue;
+        }
+        wire::Registration fact = factOf(flow, ended->number, fingerprint);
+        fact.set_ended(true);
+        registrations.add(*key, std::move(fact));
+    }
+    endedLately_.clear();
+    for (const FlowTuple &flow : acceptedForeign_) {
+        const FlowRecord *record = context_.flows.find(flow);
+        const std::optional<TargetId> home = context_.group.homeOf(flowHashOf(flow));
+        const std::optional<MemberKey> key = home ? context_.memberKey(*home) : std::nullopt;
+        if (record != nullptr && key && *key != context_.selfKey()) {
+            registrations.add(*key, factOf(flow, record->number.value(), record->fingerprint));
+        }
+    }
+    acceptedForeign_.clear();
+}
+
+void OwnedFlows::markRegistered(const wire::Registration &fact, const MemberKey &home)
+{
+    const FlowTuple flow = fromWire(fact.flow());
+    if (fact.ended()) {
+        if (EndedFlow *ended = context_.ended.find(flow, fact.fingerprint())) {
+            ended->registeredHome = home;
+        }
+        return;
+    }
+    FlowRecord *record = context_.flows.find(flow);
+    if (record != nullptr && record->number.value() == fact.flow_number()) {
+        record->registeredHome = home;
+    }
+}
+
+void OwnedFlows::tick(Timestamp now)
+{
+    placeLog_.expire(now);
+    context_.ended.expire(now);
+    if (context_.service && context_.service->silence_timeout_ms() > 0) {
+        const Milliseconds timeout(static_cast<std::int64_t>(context_.service->silence_timeout_ms()));
+        while (FlowRecord *record = silence_.findSilent(now, timeout)) {
+            ++context_.counters.silent;
+            end(now, *record, true);
+        }
+    }
+    const Milliseconds idle = context_.service && context_.service->idle_timeout_ms() > 0
+        ? Milliseconds(static_cast<std::int64_t>(context_.service->idle_timeout_ms()))
+        : DefaultIdleTimeout;
+    while (FlowRecord *record = context_.flows.oldest()) {
+        const Timestamp last = std::max(record->lastFromCaller, record->lastFromTarget);
+        if (now - last < idle) {
+            break;
+        }
+        end(now, *record, false);
+    }
+    while (!closing_.empty() && now - closing_.front().first >= ClosedLinger) {
+        const auto [flow, number] = closing_.front().second;
+        closing_.pop_front();
+        FlowRecord *record = context_.flows.find(flow);
+        if (record != nullptr && record->number == number) {
+            end(now, *record, false);
+        }
+    }
+}
+
+void OwnedFlows::noteClosing(Timestamp now, FlowRecord &record)
+{
+    if (record.finFromCaller && record.finFromTarget && !record.closing) {
+        record.closing = true;
+        closing_.emplace_back(now, std::make_pair(record.flow, record.number));
+    }
+}
+
+void OwnedFlows::sendResult(const wire::Place &place, bool accepted, std::uint64_t number)
+{
+    wire::Envelope envelope;
+    wire::PlaceResult *result = envelope.mutable_place_result();
+    *result->mutable_flow() = place.forward().flow();
+    result->set_service(place.forward().service());
+    result->set_attempt(place.attempt());
+    result->set_accepted(accepted);
+    if (accepted) {
+        result->set_owner(context_.id().value());
+        result->set_owner_incarnation(context_.group.self().incarnation());
+        result->set_flow_number(number);
+    }
+    context_.sendTo(TargetId(place.home()), std::move(envelope));
+}
+
+void OwnedFlows::sendEnd(const FlowTuple &flow, TargetId home, std::uint64_t number)
+{
+    wire::Envelope envelope;
+    *envelope.mutable_flow_end()->mutable_flow() = toWire(flow);
+    envelope.mutable_flow_end()->set_service(context_.group.self().service());
+    envelope.mutable_flow_end()->set_owner(context_.id().value());
+    envelope.mutable_flow_end()->set_flow_number(number);
+    context_.sendTo(home, std::move(envelope));
+}
+
+void OwnedFlows::setActive(FlowRecord &record, bool active)
+{
+    if (record.active == active) {
+        return;
+    }
+    record.active = active;
+    context_.activeFlows += active ? 1 : -1;
+}
+
+void OwnedFlows::established(FlowRecord &record)
+{
+    if (record.halfOpen) {
+        record.halfOpen = false;
+        halfOpen_.close(record.flow.callerAddress);
+    }
+}
+
+wire::Registration OwnedFlows::factOf(const FlowTuple &flow, std::uint64_t number, std::uint64_t fingerprint) const
+{
+    wire::Registration fact;
+    *fact.mutable_flow() = toWire(flow);
+    fact.set_owner(context_.id().value());
+    fact.set_owner_incarnation(context_.group.self().incarnation());
+    fact.set_flow_number(number);
+    fact.set_fingerprint(fingerprint);
+    return fact;
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/agent/ownedflows.h
@@ -0,0 +1,79 @@
+#ifndef RHUBARBLANE_AGENT_OWNEDFLOWS_H
+#define RHUBARBLANE_AGENT_OWNEDFLOWS_H
+
+#include "agent/admissionlimits.h"
+#include "agent/agentcontext.h"
+#include "agent/packetpeek.h"
+#include "agent/placelog.h"
+#include "agent/registrations.h"
+#include "agent/silencemonitor.h"
+
+namespace rhubarblane
+{
+
+/** The owner's part: accepts flows for the local target, delivers their packets and ends them. */
+class OwnedFlows
+{
+public:
+    explicit OwnedFlows(AgentContext &context);
+
+    /** Handles a new flow as a candidate of its home. */
+    void handle(Timestamp now, wire::Place &&message);
+
+    /** Delivers a packet of an open flow. */
+    void deliver(Timestamp now, FlowRecord &record, std::string &&packet);
+
+    void handleFromTarget(Timestamp now, FlowRecord &record, std::string &&packet);
+
+    /** Answers a home that asks about a flow. Returns false if this agent is not its owner and never was lately. */
+    bool describe(const FlowTuple &flow, std::uint64_t fingerprint, wire::QueryAnswer &answer);
+
+    /** From now on a Place of this home up to this attempt is not accepted. */
+    void cancel(Timestamp now, const FlowTuple &flow, const MemberKey &home, std::uint64_t attempt);
+
+    /** Ends a flow; `tellCaller` if the caller cannot know it from the flow itself. */
+    void end(Timestamp now, FlowRecord &record, bool tellCaller);
+
+    /** Tells the home that this agent does not own a flow. */
+    void denyOwnership(const FlowTuple &flow);
+
+    /** Ends all flows and tells their callers. */
+    void endAll(Timestamp now);
+
+    /** Queues the flows that their present homes do not know. */
+    void collect(Timestamp now, Registrations &registrations, bool afresh);
+
+    void markRegistered(const wire::Registration &fact, const MemberKey &home);
+
+    /** Queues flows that ended lately, and those accepted from a member that is not their home by this roster. */
+    void collectLately(Timestamp now, Registrations &registrations);
+
+    void configure(const wire::ServiceSettings &service);
+
+    void tick(Timestamp now);
+
+private:
+    void accept(Timestamp now, const FlowTuple &flow, wire::Place &message);
+    void passOn(Timestamp now, wire::Place &&message);
+    void sendResult(const wire::Place &place, bool accepted, std::uint64_t number);
+    void sendEnd(const FlowTuple &flow, TargetId home, std::uint64_t number);
+    void setActive(FlowRecord &record, bool active);
+    void established(FlowRecord &record);
+    void noteClosing(Timestamp now, FlowRecord &record);
+    wire::Registration factOf(const FlowTuple &flow, std::uint64_t number, std::uint64_t fingerprint) const;
+
+    AgentContext &context_;
+    PlaceLog placeLog_;
+    SilenceMonitor silence_;
+    AdmissionLimits halfOpen_;
+    AgentSettings admission_;
+    /** Flow and fingerprint of flows that ended since the last collection. */
+    std::vector<std::pair<FlowTuple, std::uint64_t>> endedLately_;
+    std::vector<FlowTuple> acceptedForeign_;
+    /** Flows that both sides have closed, in the order in which they were. */
+    std::deque<std::pair<Timestamp, std::pair<FlowTuple, FlowNumber>>> closing_;
+};
+
+} // namespace rhubarblane
+
+#endif
--- a/src/agent/packetpeek.cpp
+++ b/src/agent/packetpeek.cpp
@@ -32,7 +32,7 @@
     if (packet.size() < MinimumIpHeader) {
         return 0;
     }
-    const std::size_t offset = (byteAt(packet, 0) & 0x0f) * 4;
+    const std::size_t offset = std::size_t {byteAt(packet, 0) & 0x0f} * 4;
     return offset >= MinimumIpHeader && offset + transportHeader <= packet.size() ? offset : 0;
 }
 
@@ -62,7 +62,7 @@
         peek.ack = (flags & 0x10) != 0;
         peek.sequence = wordAt(packet, offset + 4);
         peek.acknowledgement = wordAt(packet, offset + 8);
-        payload = offset + (byteAt(packet, offset + 12) >> 4) * 4;
+        payload = offset + std::size_t {byteAt(packet, offset + 12) >> 4} * 4;
     }
     peek.payloadSize = whole.size() > payload ? whole.size() - payload : 0;
     return peek;
--- /dev/null
+++ b/src/agent/placelog.h
@@ -0,0 +1,43 @@
+#ifndef RHUBARBLANE_AGENT_PLACELOG_H
+#define RHUBARBLANE_AGENT_PLACELOG_H
+
+#include "agent/flowtable.h"
+
+#include <deque>
+#include <unordered_map>
+
+namespace rhubarblane
+{
+
+/**
+ * The placement attempts that this candidate has passed on or that their home has cancelled. A late copy of such a
+ * Place message must not be accepted, because another candidate may own the flow by then.
+ */
+class PlaceLog
+{
+public:
+    /** How far this candidate has handled an attempt. */
+    enum class Stage { Offered, Final };
+
+    /** Notes a stage of an attempt. Returns false if this stage or a later one was noted before. */
+    bool note(Timestamp now, const FlowTuple &flow, const MemberKey &home, std::uint64_t attempt, Stage stage);
+
+    bool isNoted(const FlowTuple &flow, const MemberKey &home, std::uint64_t attempt, Stage stage) const;
+
+    void expire(Timestamp now);
+
+private:
+    struct Entry {
+        MemberKey home;
+        std::uint64_t attempt = 0;
+        Stage stage = Stage::Offered;
+        Timestamp noted;
+    };
+
+    std::unordered_map<FlowTuple, Entry> entries_;
+    std::deque<std::pair<Timestamp, FlowTuple>> order_;
+};
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/agent/silencemonitor.cpp
@@ -0,0 +1,36 @@
+#include "agent/silencemonitor.h"
+
+namespace rhubarblane
+{
+
+void SilenceMonitor::fromCaller(Timestamp now, FlowRecord &record, const PacketPeek &peek, bool expectsAnswer)
+{
+    record.awaitsCaller.unlink();
+    if (expectsAnswer && !record.awaitsTarget.is_linked()) {
+        record.awaitsTargetSince = now;
+        awaitsTarget_.push_back(record);
+    }
+}
+
+void SilenceMonitor::fromTarget(Timestamp now, FlowRecord &record, const PacketPeek &peek)
+{
+    record.awaitsTarget.unlink();
+    // A UDP caller owes no answer; a TCP caller acknowledges.
+    if (record.flow.protocol == Protocol::Tcp && peek.expectsAnswer() && !record.awaitsCaller.is_linked()) {
+        record.awaitsCallerSince = now;
+        awaitsCaller_.push_back(record);
+    }
+}
+
+FlowRecord *SilenceMonitor::findSilent(Timestamp now, Milliseconds timeout)
+{
+    if (!awaitsTarget_.empty() && now - awaitsTarget_.front().awaitsTargetSince >= timeout) {
+        return &awaitsTarget_.front();
+    }
+    if (!awaitsCaller_.empty() && now - awaitsCaller_.front().awaitsCallerSince >= timeout) {
+        return &awaitsCaller_.front();
+    }
+    return nullptr;
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/agent/silencemonitor.h
@@ -0,0 +1,40 @@
+#ifndef RHUBARBLANE_AGENT_SILENCEMONITOR_H
+#define RHUBARBLANE_AGENT_SILENCEMONITOR_H
+
+#include "agent/flowtable.h"
+#include "agent/packetpeek.h"
+
+#include <boost/intrusive/list.hpp>
+
+namespace rhubarblane
+{
+
+/**
+ * Finds flows in which one side sends and the other never answers, as after a middlebox lost their state. Only traffic
+ * that expects an answer starts the wait, so idle and one-way flows are not silent.
+ */
+class SilenceMonitor
+{
+public:
+    /** A packet of the caller; `expectsAnswer` if the target has to react to it. */
+    void fromCaller(Timestamp now, FlowRecord &record, const PacketPeek &peek, bool expectsAnswer);
+
+    void fromTarget(Timestamp now, FlowRecord &record, const PacketPeek &peek);
+
+    /** A flow that has waited for `timeout` or longer; null if there is none. */
+    FlowRecord *findSilent(Timestamp now, Milliseconds timeout);
+
+private:
+    template<SilenceHook FlowRecord::*Hook>
+    using List = boost::intrusive::list<FlowRecord,
+                                        boost::intrusive::member_hook<FlowRecord, SilenceHook, Hook>,
+                                        boost::intrusive::constant_time_size<false>>;
+
+    // In order of the start of the wait, because the timeout is the same for all flows.
+    List<&FlowRecord::awaitsTarget> awaitsTarget_;
+    List<&FlowRecord::awaitsCaller> awaitsCaller_;
+};
+
+} // namespace rhubarblane
+
+#endif
