--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -51,6 +51,8 @@
 /** One revision of everything that operators declared. */
 struct Configuration {
     Revision revision;
+    /** Equal revisions with equal digests have equal content. */
+    std::uint64_t digest = 0;
     std::map<std::string, ServiceSpec> services;
     std::map<std::string, RuleSpec> rules;
     std::map<std::string, DrainSpec> drains;
