--- /dev/null
+++ b/src/store/etcdstore.cpp
@@ -0,0 +1,291 @@
+#include "store/etcdstore.h"
+
+#include "store/etcdcodec.h"
+
+#include <cpprest/containerstream.h>
+#include <cpprest/http_client.h>
+
+#include <chrono>
+#include <future>
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+using web::http::client::http_client;
+using web::http::client::http_client_config;
+using web::json::value;
+
+constexpr int CodeInvalidArgument = 3;
+constexpr int CodeNotFound = 5;
+constexpr int CodeOutOfRange = 11;
+
+std::chrono::milliseconds toChrono(Milliseconds span)
+{
+    return std::chrono::milliseconds(span.count());
+}
+
+/** A client without kept connections: cpprestsdk resends a request by itself when a kept connection was closed. */
+std::shared_ptr<http_client> makeClient(const std::string &url, Milliseconds timeout)
+{
+    http_client_config config;
+    config.set_timeout(toChrono(timeout));
+    return std::make_shared<http_client>(url, config);
+}
+
+web::http::http_request makeRequest(const std::string &path, const value &body)
+{
+    web::http::http_request request(web::http::methods::POST);
+    request.set_request_uri(path);
+    request.set_body(body);
+    request.headers().add("Connection", "close");
+    return request;
+}
+
+/** Error answers of the gateway carry a gRPC status code. */
+Error gatewayError(web::http::status_code status, const value &body, ErrorCode ifUncertain)
+{
+    const auto code = static_cast<int>(decodeInteger(body, "code"));
+    std::string text = "the store answered " + std::to_string(status);
+    if (body.is_object() && body.has_field("message") && body.at("message").is_string()) {
+        text += ": " + body.at("message").as_string();
+    }
+    if (code == CodeNotFound || code == CodeOutOfRange) {
+        return {ErrorCode::NotFound, {}, text};
+    }
+    if (code == CodeInvalidArgument) {
+        return {ErrorCode::InvalidArgument, {}, text};
+    }
+    return {ifUncertain, {}, text};
+}
+
+/** Certain that the request did not reach the store: no connection could be made. */
+bool isConnectError(const web::http::http_exception &exception)
+{
+    return exception.error_code() == std::errc::host_unreachable
+        || exception.error_code() == std::errc::connection_refused;
+}
+
+/** Waits for a task up to a deadline; cancels it then. Returns nothing if the deadline passed. */
+template<typename T>
+std::optional<T> waitFor(pplx::task<T> task, Milliseconds timeout, const pplx::cancellation_token_source &cancel)
+{
+    // pplx has no timed wait.
+    auto promise = std::make_shared<std::promise<T>>();
+    std::future<T> future = promise->get_future();
+    task.then([promise](const pplx::task<T> &done) {
+        try {
+            promise->set_value(done.get());
+        } catch (...) {
+            promise->set_exception(std::current_exception());
+        }
+    });
+    if (future.wait_for(toChrono(timeout)) != std::future_status::ready) {
+        cancel.cancel();
+        return std::nullopt;
+    }
+    return future.get();
+}
+
+/** Reads messages of a watch stream, one a line, until one has changes or is an error. */
+pplx::task<Outcome<std::vector<StoredChange>>> readChanges(const concurrency::streams::istream &body)
+{
+    concurrency::streams::container_buffer<std::string> line;
+    return body.read_line(line).then([body, line](std::size_t) {
+        const std::string text = line.collection();
+        if (text.empty()) {
+            return pplx::task_from_result<Outcome<std::vector<StoredChange>>>(
+                Error {ErrorCode::Unavailable, {}, "the store closed the watch"});
+        }
+        Outcome<std::vector<StoredChange>> changes = decodeWatch(value::parse(text));
+        if (!isOk(changes) || !valueOf(changes).empty()) {
+            return pplx::task_from_result(std::move(changes));
+        }
+        return readChanges(body);
+    });
+}
+
+} // namespace
+
+EtcdStore::EtcdStore(std::string url, Milliseconds timeout)
+    : url_(std::move(url))
+    , timeout_(timeout)
+{
+}
+
+/** Lists a waiting watch while it lives, so that cancelWatches() finds it. */
+class EtcdStore::WatchEntry
+{
+public:
+    WatchEntry(EtcdStore &store, const pplx::cancellation_token_source &cancel)
+        : store_(store)
+    {
+        const std::lock_guard<std::mutex> lock(store_.mutex_);
+        cancelled_ = store_.watchesCancelled_;
+        position_ = store_.watches_.insert(store_.watches_.end(), cancel);
+    }
+    ~WatchEntry()
+    {
+        const std::lock_guard<std::mutex> lock(store_.mutex_);
+        store_.watches_.erase(position_);
+    }
+    WatchEntry(const WatchEntry &) = delete;
+    WatchEntry &operator=(const WatchEntry &) = delete;
+
+    bool isCancelled() const
+    {
+        return cancelled_;
+    }
+
+private:
+    EtcdStore &store_;
+    std::list<pplx::cancellation_token_source>::iterator position_;
+    bool cancelled_ = false;
+};
+
+Outcome<value> EtcdStore::call(const std::string &path, const value &request, Effect effect) const
+{
+    const ErrorCode ifUncertain = effect == Effect::Write ? ErrorCode::Unknown : ErrorCode::Unavailable;
+    struct Answer {
+        web::http::status_code status = 0;
+        value body;
+    };
+    try {
+        const auto client = makeClient(url_, timeout_);
+        const pplx::cancellation_token_source cancel;
+        pplx::task<Answer> task =
+            client->request(makeRequest(path, request), cancel.get_token())
+                .then([client](const web::http::http_response &response) {
+                    return response.extract_json(true).then([status = response.status_code()](const value &body) {
+                        return Answer {status, body};
+                    });
+                });
+        const std::optional<Answer> answer = waitFor(task, timeout_, cancel);
+        if (!answer) {
+            return Error {
+                ifUncertain, {}, "no answer from the store within " + std::to_string(timeout_.count()) + " ms"};
+        }
+        if (answer->status != web::http::status_codes::OK) {
+            return gatewayError(answer->status, answer->body, ifUncertain);
+        }
+        return answer->body;
+    } catch (const web::http::http_exception &exception) {
+        return Error {isConnectError(exception) ? ErrorCode::Unavailable : ifUncertain,
+                      {},
+                      std::string("the store cannot be reached: ") + exception.what()};
+    } catch (const std::exception &exception) {
+        return Error {ifUncertain, {}, std::string("bad answer from the store: ") + exception.what()};
+    }
+}
+
+Outcome<StoredRange> EtcdStore::range(const std::string &prefix)
+{
+    const Outcome<value> answer = call("/v3/kv/range", encodeRange(prefix), Effect::Read);
+    if (!isOk(answer)) {
+        return errorOf(answer);
+    }
+    try {
+        return decodeRange(valueOf(answer));
+    } catch (const std::exception &exception) {
+        return Error {ErrorCode::Unavailable, {}, std::string("bad answer from the store: ") + exception.what()};
+    }
+}
+
+Outcome<Revision> EtcdStore::commit(const StoreTransaction &transaction)
+{
+    const Outcome<value> answer = call("/v3/kv/txn", encodeTransaction(transaction), Effect::Write);
+    if (!isOk(answer)) {
+        return errorOf(answer);
+    }
+    const value &body = valueOf(answer);
+    if (!body.is_object() || !body.has_field("header")) {
+        return Error {ErrorCode::Unknown, {}, "bad answer from the store: no header"};
+    }
+    if (!body.has_field("succeeded") || !body.at("succeeded").is_boolean() || !body.at("succeeded").as_bool()) {
+        return Error {ErrorCode::Conflict, {}, "the key was changed by another writer"};
+    }
+    return Revision(decodeInteger(body.at("header"), "revision"));
+}
+
+Outcome<std::vector<StoredChange>> EtcdStore::watch(const std::string &prefix, Revision from, Milliseconds timeout)
+{
+    try {
+        // The client's own limit applies to each read and must not end a watch that waits as asked.
+        const auto client = makeClient(url_, timeout + timeout_);
+        const pplx::cancellation_token_source cancel;
+        const WatchEntry entry(*this, cancel);
+        if (entry.isCancelled()) {
+            return Error {ErrorCode::Unavailable, {}, "watches are cancelled"};
+        }
+        pplx::task<Outcome<std::vector<StoredChange>>> task =
+            client->request(makeRequest("/v3/watch", encodeWatch(prefix, from)), cancel.get_token())
+                .then([client](const web::http::http_response &response) {
+                    if (response.status_code() == web::http::status_codes::OK) {
+                        return readChanges(response.body()).then([client](Outcome<std::vector<StoredChange>> changes) {
+                            return changes;
+                        });
+                    }
+                    return response.extract_json(true).then(
+                        [status = response.status_code()](const value &body) -> Outcome<std::vector<StoredChange>> {
+                            return gatewayError(status, body, ErrorCode::Unavailable);
+                        });
+                });
+        std::optional<Outcome<std::vector<StoredChange>>> changes = waitFor(task, timeout, cancel);
+        return changes ? std::move(*changes) : std::vector<StoredChange>();
+    } catch (const std::exception &exception) {
+        return Error {ErrorCode::Unavailable, {}, std::string("the watch failed: ") + exception.what()};
+    }
+}
+
+void EtcdStore::cancelWatches()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    watchesCancelled_ = true;
+    for (const pplx::cancellation_token_source &watch : watches_) {
+        watch.cancel();
+    }
+}
+
+Outcome<LeaseId> EtcdStore::grantLease(Milliseconds duration)
+{
+    value request = value::object();
+    // The protocol counts leases in whole seconds.
+    request["TTL"] = encodeInteger(static_cast<std::uint64_t>((duration.count() + 999) / 1000));
+    const Outcome<value> answer = call("/v3/lease/grant", request, Effect::Write);
+    if (!isOk(answer)) {
+        return errorOf(answer);
+    }
+    const LeaseId lease(decodeInteger(valueOf(answer), "ID"));
+    if (lease == LeaseId()) {
+        return Error {ErrorCode::Unknown, {}, "bad answer from the store: no lease id"};
+    }
+    return lease;
+}
+
+std::optional<Error> EtcdStore::keepLeaseAlive(LeaseId lease)
+{
+    value request = value::object();
+    request["ID"] = encodeInteger(lease.value());
+    const Outcome<value> answer = call("/v3/lease/keepalive", request, Effect::Write);
+    if (!isOk(answer)) {
+        return errorOf(answer);
+    }
+    const value &body = valueOf(answer);
+    if (!body.is_object() || !body.has_field("result") || decodeInteger(body.at("result"), "TTL") == 0) {
+        return Error {ErrorCode::NotFound, {}, "the lease has expired"};
+    }
+    return std::nullopt;
+}
+
+std::optional<Error> EtcdStore::revokeLease(LeaseId lease)
+{
+    value request = value::object();
+    request["ID"] = encodeInteger(lease.value());
+    const Outcome<value> answer = call("/v3/lease/revoke", request, Effect::Write);
+    return isOk(answer) ? std::nullopt : std::optional<Error>(errorOf(answer));
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/store/etcdstore.h
@@ -0,0 +1,52 @@
+#ifndef RHUBARBLANE_STORE_ETCDSTORE_H
+#define RHUBARBLANE_STORE_ETCDSTORE_H
+
+#include "store/configstore.h"
+
+#include <cpprest/json.h>
+#include <pplx/pplxtasks.h>
+
+#include <list>
+#include <mutex>
+#include <string>
+
+namespace rhubarblane
+{
+
+/**
+ * The store behind the JSON gateway of etcd v3. A call ends at the latest after the timeout. Safe to use from several
+ * threads.
+ */
+class EtcdStore : public ConfigStore
+{
+public:
+    /** `url` is "http://IP:PORT". */
+    EtcdStore(std::string url, Milliseconds timeout);
+
+    Outcome<StoredRange> range(const std::string &prefix) override;
+    Outcome<Revision> commit(const StoreTransaction &transaction) override;
+    Outcome<std::vector<StoredChange>> watch(const std::string &prefix, Revision from, Milliseconds timeout) override;
+    void cancelWatches() override;
+    Outcome<LeaseId> grantLease(Milliseconds duration) override;
+    std::optional<Error> keepLeaseAlive(LeaseId lease) override;
+    std::optional<Error> revokeLease(LeaseId lease) override;
+
+private:
+    class WatchEntry;
+    enum class Effect {
+        Read,
+        Write,
+    };
+
+    Outcome<web::json::value> call(const std::string &path, const web::json::value &request, Effect effect) const;
+
+    std::string url_;
+    Milliseconds timeout_;
+    std::mutex mutex_;
+    std::list<pplx::cancellation_token_source> watches_;
+    bool watchesCancelled_ = false;
+};
+
+} // namespace rhubarblane
+
+#endif
