Add the resource API with conditional writes

Operators declare services, rules and drains; a write must neither overwrite another operator's change nor be reported wrongly when the store loses an answer. Every write compares and writes one version key of the deployment in the same transaction, so checks across objects hold for two operators on different balancers. A write first reads the version key, so that an absent store is reported as 'not stored' and not as 'outcome unknown', and a store that is older than the configuration in force is refused. Configuration gets an index of services by id and of rules by their rarest condition.

--- /dev/null
+++ b/src/control/configurationwriter.cpp
@@ -0,0 +1,191 @@
+#include "control/configurationwriter.h"
+
+#include "model/storedresource.h"
+
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+using Result = Outcome<std::shared_ptr<const KnownConfiguration>>;
+
+/** Attempts against other writers before the caller is told to retry. */
+constexpr int ConflictAttempts = 8;
+/** Attempts to learn the outcome of a transaction without an answer. */
+constexpr int ResolveAttempts = 4;
+constexpr Milliseconds FirstWait(50);
+
+RecordedWrites recordedWrites(const ConfigurationSnapshot &snapshot)
+{
+    const auto version = snapshot.entries.find(ConfigurationVersionKey);
+    return version == snapshot.entries.end() ? RecordedWrites() : parseRecordedWrites(version->second.value);
+}
+
+Error notStored(const std::string &reason)
+{
+    return {ErrorCode::Unavailable, {}, "not stored: " + reason};
+}
+
+Revision modifiedOf(const ConfigurationSnapshot &snapshot, const std::string &key)
+{
+    const auto entry = snapshot.entries.find(key);
+    return entry == snapshot.entries.end() ? Revision() : entry->second.modified;
+}
+
+} // namespace
+
+ConfigurationSnapshot snapshotOf(const StoredRange &range)
+{
+    ConfigurationSnapshot snapshot;
+    for (const StoredValue &stored : range.values) {
+        if (stored.key == ConfigurationVersionKey) {
+            snapshot.revision = stored.modified;
+        }
+        snapshot.entries[stored.key] = {stored.value, stored.modified};
+    }
+    return snapshot;
+}
+
+ConfigurationWriter::ConfigurationWriter(ConfigStore *store, ConfigurationCore &core, Wait wait)
+    : store_(store)
+    , core_(core)
+    , wait_(std::move(wait))
+{
+}
+
+Result ConfigurationWriter::refresh()
+{
+    const Revision before = core_.current()->snapshot.revision;
+    const Outcome<StoredRange> version = store_->range(ConfigurationVersionKey);
+    if (!isOk(version)) {
+        return notStored(errorOf(version).message);
+    }
+    const Revision stored = valueOf(version).values.empty() ? Revision() : valueOf(version).values.front().modified;
+    if (stored < before) {
+        // Writing to such a store would make a configuration that no balancer may take over.
+        return notStored("the store has configuration revision " + std::to_string(stored.value())
+                         + ", older than the one in force, " + std::to_string(before.value()));
+    }
+    if (core_.current()->snapshot.revision < stored) {
+        const Outcome<StoredRange> range = store_->range(ConfigurationPrefix);
+        if (!isOk(range)) {
+            return notStored(errorOf(range).message);
+        }
+        core_.adopt(snapshotOf(valueOf(range)));
+    }
+    return core_.current();
+}
+
+Result ConfigurationWriter::write(const ConfigurationWrite &write)
+{
+    if (store_ == nullptr) {
+        return notStored("this balancer has no store");
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    Milliseconds wait = FirstWait;
+    for (int attempt = 0; attempt < ConflictAttempts; ++attempt) {
+        Attempt outcome = tryOnce(write);
+        if (outcome.result) {
+            return std::move(*outcome.result);
+        }
+        wait_(wait);
+        wait = wait * 2;
+    }
+    return notStored("other writers were always first");
+}
+
+ConfigurationWriter::Attempt ConfigurationWriter::tryOnce(const ConfigurationWrite &write)
+{
+    const Result refreshed = refresh();
+    if (!isOk(refreshed)) {
+        return {refreshed};
+    }
+    const std::shared_ptr<const KnownConfiguration> &known = valueOf(refreshed);
+    RecordedWrites writes = recordedWrites(known->snapshot);
+    if (const RecordedWrite *done = writes.find(write.token)) {
+        if (done->key != write.key) {
+            return {Error {ErrorCode::InvalidArgument, "Write-Token", "names an earlier write of another resource"}};
+        }
+        return {known};
+    }
+    const Outcome<PlannedWrite> plan = write.plan(*known);
+    if (!isOk(plan)) {
+        return {errorOf(plan)};
+    }
+    if (valueOf(plan).unchanged) {
+        return {known};
+    }
+    writes.add({write.token, write.key});
+    StoreTransaction transaction;
+    const Revision expected = modifiedOf(known->snapshot, ConfigurationVersionKey);
+    transaction.compares = {{ConfigurationVersionKey, expected}, {write.key, modifiedOf(known->snapshot, write.key)}};
+    transaction.writes = {{ConfigurationVersionKey, formatRecordedWrites(writes), {}},
+                          {write.key, valueOf(plan).value, {}}};
+    const Outcome<Revision> committed = store_->commit(transaction);
+    if (isOk(committed)) {
+        return {adoptWritten(*known, transaction, valueOf(committed))};
+    }
+    switch (errorOf(committed).code) {
+    case ErrorCode::Conflict:
+        return {};
+    case ErrorCode::Unknown:
+        return resolve(write, transaction, expected);
+    default:
+        return {notStored(errorOf(committed).message)};
+    }
+}
+
+ConfigurationWriter::Attempt
+ConfigurationWriter::resolve(const ConfigurationWrite &write, const StoreTransaction &transaction, Revision expected)
+{
+    Milliseconds wait = FirstWait;
+    for (int attempt = 0; attempt < ResolveAttempts; ++attempt) {
+        wait_(wait);
+        wait = wait * 2;
+        const Outcome<StoredRange> range = store_->range(ConfigurationPrefix);
+        if (!isOk(range)) {
+            continue;
+        }
+        ConfigurationSnapshot snapshot = snapshotOf(valueOf(range));
+        const RecordedWrites writes = recordedWrites(snapshot);
+        const bool done = writes.find(write.token) != nullptr;
+        const bool untouched = snapshot.revision == expected;
+        core_.adopt(std::move(snapshot));
+        if (done) {
+            return {core_.current()};
+        }
+        if (!untouched) {
+            // Another write has changed the version key, so the transaction cannot take effect any more.
+            return {};
+        }
+        // The transaction can still be on its way. Sent again, only one of the two can meet the compare.
+        const std::shared_ptr<const KnownConfiguration> known = core_.current();
+        const Outcome<Revision> committed = store_->commit(transaction);
+        if (isOk(committed)) {
+            return {adoptWritten(*known, transaction, valueOf(committed))};
+        }
+    }
+    return {Error {ErrorCode::Unknown, {}, "outcome unknown: the store gave no answer to the write"}};
+}
+
+std::shared_ptr<const KnownConfiguration> ConfigurationWriter::adoptWritten(const KnownConfiguration &base,
+                                                                            const StoreTransaction &transaction,
+                                                                            Revision revision)
+{
+    ConfigurationSnapshot snapshot = base.snapshot;
+    snapshot.revision = revision;
+    for (const StoreWrite &write : transaction.writes) {
+        if (write.value) {
+            snapshot.entries[write.key] = {*write.value, revision};
+        } else {
+            snapshot.entries.erase(write.key);
+        }
+    }
+    core_.adopt(std::move(snapshot));
+    return core_.current();
+}
+
+} // namespace rhubarblane
--- a/src/control/controlserver.cpp
+++ b/src/control/controlserver.cpp
@@ -1,44 +1,133 @@
 #include "control/controlserver.h"
 
+#include "control/resourceapi.h"
+#include "store/etcdstore.h"
 #include "wire/httpserver.h"
 
+#include <openssl/rand.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <thread>
 #include <utility>
 
 namespace rhubarblane
 {
 
-class ControlServer::Private
+namespace
+{
+
+using web::http::http_request;
+
+/** Limit of each store call. The store answers in milliseconds when it is well. */
+constexpr Milliseconds StoreTimeout(2000);
+
+/** Unique without a seed: a token that an earlier process used would make a new write look done. */
+std::string makeToken()
+{
+    std::array<unsigned char, 16> bytes {};
+    RAND_bytes(bytes.data(), static_cast<int>(bytes.size()));
+    std::string token;
+    for (const unsigned char byte : bytes) {
+        std::array<char, 3> text {};
+        std::snprintf(text.data(), text.size(), "%02x", byte);
+        token += text.data();
+    }
+    return token;
+}
+
+std::string toLower(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+        return static_cast<char>(c >= 'A' && c <= 'Z' ? c - 'A' + 'a' : c);
+    });
+    return text;
+}
+
+ApiRequest toApiRequest(const http_request &request, std::string body)
+{
+    ApiRequest result;
+    result.method = request.method();
+    result.path = request.relative_uri().path();
+    for (const auto &[name, value] : request.headers()) {
+        result.headers[toLower(name)] = value;
+    }
+    result.body = std::move(body);
+    return result;
+}
+
+void send(const http_request &request, const ApiResponse &answer)
+{
+    web::http::http_response response(static_cast<web::http::status_code>(answer.status));
+    response.set_body(answer.body, answer.contentType);
+    for (const auto &[name, value] : answer.headers) {
+        response.headers().add(name, value);
+    }
+    request.reply(response);
+}
+
+} // namespace
+
+/** Shared with requests in progress, which can end after the server. */
+class ControlServer::Private : public std::enable_shared_from_this<Private>
 {
 public:
     Private(ControlSettings settings, ControlHooks hooks)
         : settings_(std::move(settings))
         , hooks_(std::move(hooks))
+        , core_(hooks_.applyConfiguration)
+        , store_(settings_.storeUrl.empty() ? nullptr : std::make_unique<EtcdStore>(settings_.storeUrl, StoreTimeout))
+        , writer_(store_.get(),
+                  core_,
+                  [](Milliseconds wait) { std::this_thread::sleep_for(std::chrono::milliseconds(wait.count())); })
+        , api_(settings_, hooks_, core_, writer_, makeToken)
+    {
+    }
+
+    void handle(const http_request &request)
     {
+        if (request.headers().content_length() > ResourceApi::MaximumBody) {
+            send(request,
+                 errorResponse(413,
+                               "tooLarge",
+                               "the body is longer than " + std::to_string(ResourceApi::MaximumBody) + " bytes"));
+            return;
+        }
+        request.content_ready().then([self = shared_from_this()](const pplx::task<http_request> &ready) {
+            // An exception that leaves the continuation would end the process.
+            try {
+                self->answer(ready.get());
+            } catch (const std::exception &) {
+                // The caller closed the connection before its request was complete.
+            }
+        });
     }
 
-    void handle(const web::http::http_request &request)
+    void answer(const http_request &request)
     {
-        const std::string path = request.relative_uri().path();
-        if (path == "/metrics") {
-            request.reply(web::http::status_codes::OK, hooks_.metrics(), "text/plain; version=0.0.4");
-        } else if (path == "/v1/dump") {
-            request.reply(web::http::status_codes::OK, hooks_.dump(), "application/json");
-        } else if (path == "/v1/targets") {
-            request.reply(web::http::status_codes::OK, hooks_.targets(), "application/json");
-        } else {
-            request.reply(web::http::status_codes::NotFound,
-                          R"({"error":{"code":"notFound","message":"no such path"}})",
-                          "application/json");
+        ApiResponse response;
+        try {
+            const std::vector<unsigned char> body = request.extract_vector().get();
+            response = api_.handle(toApiRequest(request, std::string(body.begin(), body.end())));
+        } catch (const std::exception &exception) {
+            response = errorResponse(500, "internal", exception.what());
         }
+        send(request, response);
     }
 
     ControlSettings settings_;
     ControlHooks hooks_;
+    ConfigurationCore core_;
+    std::unique_ptr<EtcdStore> store_;
+    ConfigurationWriter writer_;
+    ResourceApi api_;
     HttpServer http_;
 };
 
 ControlServer::ControlServer(ControlSettings settings, ControlHooks hooks)
-    : d_(std::make_unique<Private>(std::move(settings), std::move(hooks)))
+    : d_(std::make_shared<Private>(std::move(settings), std::move(hooks)))
 {
 }
 
@@ -49,8 +138,7 @@
 
 std::optional<Error> ControlServer::start()
 {
-    return d_->http_.start(d_->settings_.listenAddress,
-                           [this](const web::http::http_request &request) { d_->handle(request); });
+    return d_->http_.start(d_->settings_.listenAddress, [this](const http_request &request) { d_->handle(request); });
 }
 
 void ControlServer::stop()
--- a/src/control/controlserver.h
+++ b/src/control/controlserver.h
@@ -35,7 +35,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d_;
+    std::shared_ptr<Private> d_;
 };
 
 } // namespace rhubarblane
--- a/src/control/controlsettings.h
+++ b/src/control/controlsettings.h
@@ -27,7 +27,7 @@
     std::string storeUrl;
     /** Content of the API key file; white space at the ends is ignored. Empty refuses all writes. */
     std::string apiKey;
-    /** Seed of backoff jitter and write tokens; must differ between processes. */
+    /** Seed of the backoff jitter; should differ between processes. */
     std::uint64_t seed = 0;
 };
 
@@ -48,7 +48,7 @@
     std::function<std::string()> dump;
     /** Prometheus text. */
     std::function<std::string()> metrics;
-    /** Known targets as a JSON array, each an object with at least `name`. */
+    /** Known targets as the text of a JSON array of objects. */
     std::function<std::string()> targets;
     /** All live balancers, this one included. */
     std::function<std::vector<BalancerRevision>()> inForce;
--- a/src/model/configuration.cpp
+++ b/src/model/configuration.cpp
@@ -1,41 +1,22 @@
 #include "model/configuration.h"
 
-namespace rhubarblane
-{
+#include "model/configurationindex.h"
 
-namespace
+namespace rhubarblane
 {
 
-bool hasLabel(const wire::TargetEntry &target, const std::string &key, const std::string &value)
+void Configuration::buildIndex()
 {
-    for (const wire::Label &label : target.labels()) {
-        if (label.key() == key) {
-            return label.value() == value;
-        }
-    }
-    return false;
+    index = std::make_shared<const ConfigurationIndex>(*this);
 }
 
-bool matches(const RuleSpec &rule, const wire::TargetEntry &target)
-{
-    if (!rule.client.empty() && rule.client != target.client()) {
-        return false;
-    }
-    if (!rule.availabilityZone.empty() && rule.availabilityZone != target.availability_zone()) {
-        return false;
-    }
-    for (const auto &[key, value] : rule.labels) {
-        if (!hasLabel(target, key, value)) {
-            return false;
-        }
-    }
-    return true;
-}
-
-} // namespace
-
 const ServiceSpec *Configuration::find(ServiceId service) const
 {
+    if (index) {
+        const std::string *name = index->serviceName(service);
+        const auto found = name == nullptr ? services.end() : services.find(*name);
+        return found == services.end() ? nullptr : &found->second;
+    }
     for (const auto &[name, spec] : services) {
         if (serviceIdOf(name) == service) {
             return &spec;
@@ -46,6 +27,9 @@
 
 ServiceId Configuration::serviceOf(const wire::TargetEntry &target) const
 {
+    if (index) {
+        return index->serviceOf(target);
+    }
     for (const auto &[name, rule] : rules) {
         if (matches(rule, target) && services.count(rule.service) != 0) {
             return serviceIdOf(rule.service);
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace rhubarblane
@@ -48,6 +49,8 @@
     Milliseconds deadline = Milliseconds(600000);
 };
 
+class ConfigurationIndex;
+
 /** One revision of everything that operators declared. */
 struct Configuration {
     Revision revision;
@@ -57,10 +60,16 @@
     std::map<std::string, RuleSpec> rules;
     std::map<std::string, DrainSpec> drains;
 
+    /** Speeds up find() and serviceOf(). Must be called again after a change of services or rules. */
+    void buildIndex();
+
     const ServiceSpec *find(ServiceId service) const;
 
     /** The service that a rule binds the target to; ServiceId() if none. */
     ServiceId serviceOf(const wire::TargetEntry &target) const;
+
+    /** Absent until buildIndex(); copies of the configuration share it. */
+    std::shared_ptr<const ConfigurationIndex> index;
 };
 
 wire::ServiceSettings toWire(const ServiceSpec &service);
--- a/src/model/resourcecodec.cpp
+++ b/src/model/resourcecodec.cpp
@@ -59,7 +59,7 @@
     rule.client = selector.text("client", {});
     rule.availabilityZone = selector.text("availabilityZone", {});
     if (const std::optional<Error> error = selector.finish()) {
-        reader.fail("selector." + error->field, error->message);
+        reader.fail(error->field.empty() ? "selector" : "selector." + error->field, error->message);
     }
     if (rule.labels.empty() && rule.client.empty() && rule.availabilityZone.empty()) {
         reader.fail("selector", "must have at least one of labels, client, availabilityZone");
--- a/src/standins/storestandin.cpp
+++ b/src/standins/storestandin.cpp
@@ -15,6 +15,7 @@
 using web::http::status_codes;
 using web::json::value;
 
+constexpr int CodeInvalidArgument = 3;
 constexpr int CodeNotFound = 5;
 constexpr int CodeUnavailable = 14;
 /** How often expired leases are looked for. */
@@ -48,6 +49,16 @@
     return event;
 }
 
+/** An exception that leaves a handler would end the process. */
+void replyBadRequest(const http_request &request, const std::string &reason)
+{
+    try {
+        request.reply(status_codes::BadRequest, gatewayError(CodeInvalidArgument, reason));
+    } catch (const std::exception &) {
+        // The request was answered before.
+    }
+}
+
 StoreTransaction decodeTransaction(const value &body)
 {
     StoreTransaction transaction;
@@ -136,7 +147,7 @@
         try {
             handleBody(request, path, task.get());
         } catch (const std::exception &exception) {
-            request.reply(status_codes::BadRequest, gatewayError(3, exception.what()));
+            replyBadRequest(request, exception.what());
         }
     });
 }
@@ -290,7 +301,8 @@
     if (body.has_field("away")) {
         const std::string &away = body.at("away").as_string();
         if (away != "no" && away != "refuse" && away != "hang") {
-            request.reply(status_codes::BadRequest, gatewayError(3, "away: allowed are no, refuse, hang"));
+            request.reply(status_codes::BadRequest,
+                          gatewayError(CodeInvalidArgument, "away: allowed are no, refuse, hang"));
             return;
         }
         away_ = away == "no" ? Away::No : (away == "refuse" ? Away::Refuse : Away::Hang);
--- a/src/tests/apitest.cpp
+++ b/src/tests/apitest.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE Api
 #include "control/controlserver.h"
+#include "standins/storestandin.h"
 
 #include <cpprest/http_client.h>
 
@@ -28,6 +29,35 @@
         return client.request(web::http::methods::GET, path).get();
     }
 
+    static web::http::http_response
+    put(const ControlServer &server, const std::string &path, const std::string &body, const std::string &token = {})
+    {
+        web::http::client::http_client client("http://127.0.0.1:" + std::to_string(server.httpPort()));
+        web::http::http_request request(web::http::methods::PUT);
+        request.set_request_uri(path);
+        request.headers().add("Authorization", "Bearer key-1");
+        if (!token.empty()) {
+            request.headers().add("Write-Token", token);
+        }
+        request.set_body(body, "application/json");
+        return client.request(request).get();
+    }
+
+    void useStore()
+    {
+        BOOST_REQUIRE(!standin.start("127.0.0.1:0"));
+        settings.storeUrl = "http://127.0.0.1:" + std::to_string(standin.port());
+        settings.apiKey = "key-1\n";
+    }
+
+    void setFaults(const std::string &faults) const
+    {
+        web::http::client::http_client client(settings.storeUrl);
+        client.request(web::http::methods::POST, "/standin/faults", web::json::value::parse(faults)).wait();
+    }
+
+    const std::string service = R"({"spec":{"address":"198.51.100.1","port":7000}})";
+    StoreStandin standin;
     ControlSettings settings;
     ControlHooks hooks;
 };
@@ -60,4 +90,33 @@
     BOOST_TEST(error->field == "listenAddress");
 }
 
+// Guards against a write over HTTP that does not reach the store, and against bodies that exhaust the memory.
+BOOST_AUTO_TEST_CASE(controlServerStoresAWriteAndRefusesAnOversizedOne)
+{
+    useStore();
+    ControlServer server(settings, hooks);
+    BOOST_REQUIRE(!server.start());
+    const web::http::http_response created = put(server, "/v1/services/readings", service);
+    BOOST_TEST(created.status_code() == 200);
+    BOOST_TEST(created.headers().has("ETag"));
+    BOOST_TEST(fetch(server, "/v1/services/readings").status_code() == 200);
+    BOOST_TEST(put(server, "/v1/services/large", std::string(1024 * 1024 + 1, ' ')).status_code() == 413);
+    BOOST_TEST(fetch(server, "/v1/services/large").status_code() == 404);
+}
+
+// Guards against a lost answer that the operator hears as a failure, and against a retry that writes twice.
+BOOST_AUTO_TEST_CASE(controlServerWithLostAnswerReadsTheWriteBack)
+{
+    useStore();
+    ControlServer server(settings, hooks);
+    BOOST_REQUIRE(!server.start());
+    setFaults(R"({"loseAnswers": 100})");
+    const web::http::http_response lost = put(server, "/v1/services/readings", service, "token-1");
+    BOOST_TEST(lost.status_code() == 200);
+    setFaults(R"({"loseAnswers": 0, "away": "refuse"})");
+    BOOST_TEST(put(server, "/v1/services/archive", service).status_code() == 503);
+    setFaults(R"({"away": "no"})");
+    BOOST_TEST(put(server, "/v1/services/readings", service, "token-1").status_code() == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
