Add the processes, the stand-ins and a thin demo

Cause: no program ran the decision cores; nothing showed a packet on the whole path of fabric, balancer, agent, target and back.

Before: main() of rhubarblaned and rhubarblane_standin was empty.

--- /dev/null
+++ b/src/daemon/agentdaemon.h
@@ -0,0 +1,62 @@
+#ifndef RHUBARBLANE_DAEMON_AGENTDAEMON_H
+#define RHUBARBLANE_DAEMON_AGENTDAEMON_H
+
+#include "agent/agentcore.h"
+#include "daemon/durationsummary.h"
+#include "daemon/eventloop.h"
+#include "daemon/fabricio.h"
+#include "daemon/logs.h"
+#include "daemon/sealedtransport.h"
+#include "daemon/settings.h"
+#include "daemon/statusserver.h"
+#include "daemon/targetlink.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace rhubarblane
+{
+
+/** The process of the role `agent`. */
+class AgentDaemon
+{
+public:
+    /** The references must outlive the daemon. */
+    AgentDaemon(
+        const Settings &settings, Incarnation incarnation, EventLoop &loop, FabricIo fabric, SealedTransport peers);
+
+    /** Serves HTTP. Returns an error if the address cannot be used. */
+    std::optional<Error> start();
+
+    std::string metrics() const;
+    web::json::value dump() const;
+
+private:
+    void receiveMessages();
+    void tick(Timestamp now);
+    void terminate();
+    void perform();
+    void perform(const SendMessage &action);
+    void perform(const DeliverPacket &action);
+    void perform(const SendToCaller &action);
+    void perform(const CloseFlow &action);
+
+    const Settings &settings_;
+    EventLoop &loop_;
+    FabricIo fabric_;
+    SealedTransport peers_;
+    TargetLink target_;
+    AgentCore core_;
+    LimitedLog limitedLog_;
+    DurationSummary rounds_;
+    bool terminating_ = false;
+    bool performing_ = false;
+    std::optional<Timestamp> drainedAt_;
+    std::unique_ptr<StatusServer> http_;
+    std::uint64_t loggedWrongService_ = 0;
+};
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/daemon/agentreport.h
@@ -0,0 +1,20 @@
+#ifndef RHUBARBLANE_DAEMON_AGENTREPORT_H
+#define RHUBARBLANE_DAEMON_AGENTREPORT_H
+
+#include "agent/agentcore.h"
+#include "daemon/metricstext.h"
+#include "daemon/targetlink.h"
+
+#include <cpprest/json.h>
+
+namespace rhubarblane
+{
+
+void addAgentMetrics(MetricsText &text, const AgentCore &core, const TargetLink &target);
+
+/** Counters, roster and flows of an agent. */
+web::json::value agentDump(const AgentCore &core, const TargetLink &target);
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/daemon/eventloop.cpp
@@ -0,0 +1,156 @@
+#include "daemon/eventloop.h"
+
+#include "base/invariant.h"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+constexpr int EventsPerWait = 256;
+
+} // namespace
+
+EventLoop::EventLoop(const Clock &clock, Milliseconds tickInterval)
+    : clock_(clock)
+    , tickInterval_(tickInterval)
+    , epoll_(epoll_create1(EPOLL_CLOEXEC))
+    , wake_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+    RHUBARBLANE_INVARIANT(epoll_ >= 0 && wake_ >= 0, "the process can open its event descriptors");
+    add(wake_, [this] { runPosted(); });
+}
+
+EventLoop::~EventLoop()
+{
+    if (signals_ >= 0) {
+        close(signals_);
+    }
+    close(wake_);
+    close(epoll_);
+}
+
+void EventLoop::add(int descriptor, Handler handler)
+{
+    handlers_[descriptor] = std::move(handler);
+    epoll_event event {};
+    event.events = EPOLLIN;
+    event.data.fd = descriptor;
+    epoll_ctl(epoll_, EPOLL_CTL_ADD, descriptor, &event);
+}
+
+void EventLoop::remove(int descriptor)
+{
+    handlers_.erase(descriptor);
+    epoll_ctl(epoll_, EPOLL_CTL_DEL, descriptor, nullptr);
+}
+
+void EventLoop::onTick(TickHandler handler)
+{
+    tickHandler_ = std::move(handler);
+}
+
+void EventLoop::onTerminate(Handler handler)
+{
+    terminateHandler_ = std::move(handler);
+    if (signals_ >= 0) {
+        return;
+    }
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    signals_ = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+    RHUBARBLANE_INVARIANT(signals_ >= 0, "the process can open a signal descriptor");
+    add(signals_, [this] { readSignals(); });
+}
+
+void EventLoop::post(Handler task)
+{
+    {
+        const std::lock_guard<std::mutex> lock(postedMutex_);
+        if (ended_) {
+            return;
+        }
+        posted_.push_back(std::move(task));
+    }
+    const std::uint64_t one = 1;
+    const ssize_t written = write(wake_, &one, sizeof(one));
+    static_cast<void>(written); // A full counter already wakes the loop.
+}
+
+void EventLoop::run()
+{
+    running_ = true;
+    std::array<epoll_event, EventsPerWait> events {};
+    while (running_) {
+        const int count = epoll_wait(epoll_, events.data(), EventsPerWait, waitTime(clock_.now()));
+        for (int i = 0; i < count && running_; ++i) {
+            // A handler earlier in this batch may have removed the descriptor or replaced its handler.
+            const auto found = handlers_.find(events[static_cast<std::size_t>(i)].data.fd);
+            if (found != handlers_.end()) {
+                const Handler handler = found->second;
+                handler();
+            }
+        }
+        const Timestamp now = clock_.now();
+        if (running_ && tickHandler_ && now >= nextTick_) {
+            nextTick_ = now + tickInterval_;
+            tickHandler_(now);
+        }
+    }
+    // Dropping the tasks breaks their promises, so that no other thread waits for an answer that never comes.
+    std::vector<Handler> dropped;
+    const std::lock_guard<std::mutex> lock(postedMutex_);
+    ended_ = true;
+    dropped.swap(posted_);
+}
+
+void EventLoop::stop()
+{
+    running_ = false;
+}
+
+void EventLoop::runPosted()
+{
+    std::uint64_t count = 0;
+    const ssize_t got = read(wake_, &count, sizeof(count));
+    static_cast<void>(got);
+    std::vector<Handler> tasks;
+    {
+        const std::lock_guard<std::mutex> lock(postedMutex_);
+        tasks.swap(posted_);
+    }
+    for (const Handler &task : tasks) {
+        task();
+    }
+}
+
+void EventLoop::readSignals()
+{
+    signalfd_siginfo info {};
+    while (read(signals_, &info, sizeof(info)) == static_cast<ssize_t>(sizeof(info))) {
+        terminateHandler_();
+    }
+}
+
+int EventLoop::waitTime(Timestamp now) const
+{
+    if (!tickHandler_) {
+        return -1;
+    }
+    return static_cast<int>(std::max<std::int64_t>(0, (nextTick_ - now).count()));
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/daemon/eventloop.h
@@ -0,0 +1,88 @@
+#ifndef RHUBARBLANE_DAEMON_EVENTLOOP_H
+#define RHUBARBLANE_DAEMON_EVENTLOOP_H
+
+#include "base/clock.h"
+
+#include <functional>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace rhubarblane
+{
+
+/** The one thread of a process that handles packets, messages and time. */
+class EventLoop
+{
+public:
+    using Handler = std::function<void()>;
+    using TickHandler = std::function<void(Timestamp now)>;
+
+    /** `clock` must outlive the loop. */
+    EventLoop(const Clock &clock, Milliseconds tickInterval);
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+    ~EventLoop();
+
+    /** Calls `handler` whenever the descriptor is readable or has an error. */
+    void add(int descriptor, Handler handler);
+
+    /** Must be called before the descriptor is closed. */
+    void remove(int descriptor);
+
+    void onTick(TickHandler handler);
+
+    /** Runs `task` on the loop's thread, or drops it when run() has ended. May be called on any thread. */
+    void post(Handler task);
+
+    /**
+     * Runs `query` on the loop's thread and waits for its result. Must not be called on the loop's thread. Throws
+     * std::future_error when run() has ended.
+     */
+    template<typename Query>
+    auto call(Query query) -> decltype(query())
+    {
+        auto task = std::make_shared<std::packaged_task<decltype(query())()>>(std::move(query));
+        auto result = task->get_future();
+        post([task] { (*task)(); });
+        return result.get();
+    }
+
+    /** Runs until stop(). SIGTERM and SIGINT must be blocked; they reach the handler of onTerminate(). */
+    void run();
+
+    void stop();
+
+    /** Called on the loop's thread for each SIGTERM or SIGINT. */
+    void onTerminate(Handler handler);
+
+    Timestamp now() const
+    {
+        return clock_.now();
+    }
+
+private:
+    void runPosted();
+    void readSignals();
+    int waitTime(Timestamp now) const;
+
+    const Clock &clock_;
+    Milliseconds tickInterval_;
+    Timestamp nextTick_;
+    int epoll_ = -1;
+    int wake_ = -1;
+    int signals_ = -1;
+    bool running_ = false;
+    std::unordered_map<int, Handler> handlers_;
+    TickHandler tickHandler_;
+    Handler terminateHandler_;
+    std::mutex postedMutex_;
+    std::vector<Handler> posted_;
+    bool ended_ = false;
+};
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/daemon/metricstext.cpp
@@ -0,0 +1,84 @@
+#include "daemon/metricstext.h"
+
+#include "daemon/durationsummary.h"
+
+#include <sstream>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+std::string escaped(const std::string &value)
+{
+    std::string result;
+    for (const char c : value) {
+        if (c == '\n') {
+            result += "\\n";
+            continue;
+        }
+        if (c == '"' || c == '\\') {
+            result.push_back('\\');
+        }
+        result.push_back(c);
+    }
+    return result;
+}
+
+std::string formatNumber(double value)
+{
+    std::ostringstream text;
+    text << value;
+    return text.str();
+}
+
+} // namespace
+
+void MetricsText::counter(std::string_view name, std::string_view help, std::uint64_t value, const Labels &labels)
+{
+    head(name, help, "counter");
+    sample(name, labels, std::to_string(value));
+}
+
+void MetricsText::gauge(std::string_view name, std::string_view help, double value, const Labels &labels)
+{
+    head(name, help, "gauge");
+    sample(name, labels, formatNumber(value));
+}
+
+void MetricsText::summary(std::string_view name, std::string_view help, const DurationSummary &durations)
+{
+    head(name, help, "summary");
+    for (const auto &[quantile, seconds] : durations.quantiles()) {
+        sample(name, {{"quantile", formatNumber(quantile)}}, formatNumber(seconds));
+    }
+    sample(std::string(name) + "_sum", {}, formatNumber(durations.sum()));
+    sample(std::string(name) + "_count", {}, std::to_string(durations.count()));
+}
+
+void MetricsText::head(std::string_view name, std::string_view help, std::string_view type)
+{
+    // The format allows one head for each name, before its first sample.
+    if (lastName_ == name) {
+        return;
+    }
+    lastName_ = name;
+    text_ += "# HELP rhubarblane_" + std::string(name) + " " + std::string(help) + "\n";
+    text_ += "# TYPE rhubarblane_" + std::string(name) + " " + std::string(type) + "\n";
+}
+
+void MetricsText::sample(std::string_view name, const Labels &labels, const std::string &value)
+{
+    text_ += "rhubarblane_" + std::string(name);
+    if (!labels.empty()) {
+        text_ += "{";
+        for (std::size_t i = 0; i < labels.size(); ++i) {
+            text_ += (i == 0 ? "" : ",") + labels[i].first + "=\"" + escaped(labels[i].second) + "\"";
+        }
+        text_ += "}";
+    }
+    text_ += " " + value + "\n";
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/daemon/sealedtransport.h
@@ -0,0 +1,59 @@
+#ifndef RHUBARBLANE_DAEMON_SEALEDTRANSPORT_H
+#define RHUBARBLANE_DAEMON_SEALEDTRANSPORT_H
+
+#include "daemon/peertransport.h"
+#include "daemon/udpsocket.h"
+#include "wire/datagramseal.h"
+
+#include <cstdint>
+#include <string>
+
+namespace rhubarblane
+{
+
+/** Datagrams that were dropped, by reason. */
+struct SealedTransportCounters {
+    std::uint64_t tooShort = 0;
+    std::uint64_t badTag = 0;
+    std::uint64_t replayed = 0;
+    std::uint64_t staleIncarnation = 0;
+    std::uint64_t malformed = 0;
+};
+
+/** Sealed protobuf messages over one UDP socket. */
+class SealedTransport : public PeerTransport
+{
+public:
+    SealedTransport(UdpSocket socket, DatagramSeal seal);
+
+    void onMessage(Receiver receiver) override;
+    void send(const PeerAddress &to, const wire::Envelope &message) override;
+
+    bool receiveBatch();
+    void flush();
+
+    const UdpSocket &socket() const
+    {
+        return socket_;
+    }
+    const SealedTransportCounters &counters() const
+    {
+        return counters_;
+    }
+
+private:
+    void open(const PeerAddress &from, std::string_view datagram);
+    void count(SealError error);
+
+    UdpSocket socket_;
+    DatagramSeal seal_;
+    Receiver receiver_;
+    SealedTransportCounters counters_;
+    // Reused for every message, so that parsing allocates only when a message is larger than all before it.
+    wire::Envelope incoming_;
+    std::string payload_;
+};
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/daemon/socketreport.h
@@ -0,0 +1,23 @@
+#ifndef RHUBARBLANE_DAEMON_SOCKETREPORT_H
+#define RHUBARBLANE_DAEMON_SOCKETREPORT_H
+
+#include "daemon/metricstext.h"
+#include "daemon/sealedtransport.h"
+#include "daemon/udpsocket.h"
+
+#include <cpprest/json.h>
+
+namespace rhubarblane
+{
+
+/** Adds the datagram counters of both sockets of a process. */
+void addSocketMetrics(MetricsText &text, const UdpSocket &fabric, const SealedTransport &peers);
+
+web::json::value socketDump(const UdpSocket &fabric, const SealedTransport &peers);
+
+/** A target entry as the dump shows it. */
+web::json::value toJson(const wire::TargetEntry &entry);
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/daemon/udpsocket.h
@@ -0,0 +1,79 @@
+#ifndef RHUBARBLANE_DAEMON_UDPSOCKET_H
+#define RHUBARBLANE_DAEMON_UDPSOCKET_H
+
+#include "base/outcome.h"
+#include "wire/peeraddress.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rhubarblane
+{
+
+/** Counters of a socket since its creation. */
+struct UdpSocketCounters {
+    std::uint64_t received = 0;
+    std::uint64_t sent = 0;
+    /** Datagrams that the kernel did not take. */
+    std::uint64_t sendErrors = 0;
+};
+
+/** A non-blocking UDP socket that receives and sends in batches. */
+class UdpSocket
+{
+public:
+    using Receiver = std::function<void(const PeerAddress &from, std::string_view datagram)>;
+
+    /** Binds to `local`; port 0 takes a free port. Fails with Unavailable. */
+    static Outcome<UdpSocket> bound(const PeerAddress &local);
+
+    UdpSocket(UdpSocket &&other) noexcept;
+    UdpSocket &operator=(UdpSocket &&other) noexcept;
+    UdpSocket(const UdpSocket &) = delete;
+    UdpSocket &operator=(const UdpSocket &) = delete;
+    ~UdpSocket();
+
+    int descriptor() const
+    {
+        return descriptor_;
+    }
+    PeerAddress localAddress() const;
+
+    /** Reads at most one batch. Returns true if more may be waiting. */
+    bool receiveBatch(const Receiver &receiver);
+
+    /** Adds a datagram to the current batch and sends the batch when it is full. */
+    void queue(const PeerAddress &to, std::string datagram);
+
+    /** Sends everything queued. What the kernel does not take is dropped and counted, as on any network. */
+    void flush();
+
+    const UdpSocketCounters &counters() const
+    {
+        return counters_;
+    }
+
+private:
+    explicit UdpSocket(int descriptor);
+
+    struct Outgoing {
+        sockaddr_in to {};
+        std::string datagram;
+    };
+
+    int descriptor_ = -1;
+    std::vector<char> buffer_;
+    std::vector<Outgoing> outgoing_;
+    std::size_t queued_ = 0;
+    UdpSocketCounters counters_;
+};
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/standins/fabricstandin.h
@@ -0,0 +1,72 @@
+#ifndef RHUBARBLANE_STANDINS_FABRICSTANDIN_H
+#define RHUBARBLANE_STANDINS_FABRICSTANDIN_H
+
+#include "standins/datagramport.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace rhubarblane
+{
+
+/** How the fabric stand-in behaves. */
+struct FabricStandinSettings {
+    PeerAddress callers;
+    PeerAddress answers;
+    PeerAddress control;
+    std::vector<PeerAddress> balancers;
+    std::uint64_t seed = 1;
+    /** Share of the callers' packets of which a second copy arrives later. */
+    double lateCopyShare = 0;
+    std::int64_t lateCopyMs = 500;
+};
+
+/**
+ * Stands in for the network: sends each packet of a caller to a random balancer, and each answer to the process that
+ * last sent from the answer's destination address.
+ */
+class FabricStandin
+{
+public:
+    FabricStandin(boost::asio::io_context &context, const FabricStandinSettings &settings);
+
+    /** Handles "add ADDRESS:PORT", "remove ADDRESS:PORT" and "list"; returns the answer. */
+    std::string control(std::string_view command);
+
+    PeerAddress callersAddress() const
+    {
+        return callers_.localAddress();
+    }
+    PeerAddress answersAddress() const
+    {
+        return answers_.localAddress();
+    }
+
+private:
+    void fromCaller(const PeerAddress &from, std::string_view packet);
+    void fromAgent(std::string_view packet);
+    void spray(std::string_view packet);
+    void sprayLater(std::string packet);
+
+    FabricStandinSettings settings_;
+    boost::asio::io_context &context_;
+    std::mt19937_64 random_;
+    std::vector<PeerAddress> balancers_;
+    std::unordered_map<std::uint32_t, PeerAddress> callerRoutes_;
+    DatagramPort callers_;
+    DatagramPort answers_;
+    DatagramPort control_;
+};
+
+/** The program `rhubarblane_standin fabric`. */
+int runFabricStandin(const std::vector<std::string> &arguments);
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/standins/standinmessage.h
@@ -0,0 +1,33 @@
+#ifndef RHUBARBLANE_STANDINS_STANDINMESSAGE_H
+#define RHUBARBLANE_STANDINS_STANDINMESSAGE_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace rhubarblane
+{
+
+/**
+ * What the stand-ins for callers and targets say to each other: one line of words. Callers send "request", "book",
+ * "stream", "alive", "end" and "chunk"; targets answer with "answer", "booked", "data", "got", "busy", "reset" and
+ * "wrong".
+ */
+struct StandinMessage {
+    std::string verb;
+    std::string service;
+    /** Unique for each flow of all callers. */
+    std::string id;
+    /** Work in ms, or a sequence number. */
+    std::int64_t number = 0;
+    /** Last sequence number of an upload. */
+    std::int64_t last = 0;
+};
+
+std::string formatStandinMessage(const StandinMessage &message);
+std::optional<StandinMessage> parseStandinMessage(std::string_view line);
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/standins/targetstandin.h
@@ -0,0 +1,115 @@
+#ifndef RHUBARBLANE_STANDINS_TARGETSTANDIN_H
+#define RHUBARBLANE_STANDINS_TARGETSTANDIN_H
+
+#include "base/clock.h"
+#include "standins/datagramport.h"
+#include "standins/standinmessage.h"
+#include "standins/tcpendpoint.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace rhubarblane
+{
+
+/** How a target stand-in behaves. */
+struct TargetStandinSettings {
+    std::string name;
+    std::string service;
+    PeerAddress listen;
+    /** Datagrams carry IP packets of TCP connections. */
+    bool encapsulatedTcp = false;
+    std::int64_t slots = 1;
+    /** Service rate; 2 takes half as long as 1. */
+    double speed = 1;
+    double shedShare = 0;
+    /** Time after start in which the target works at a quarter of its speed. */
+    std::int64_t coldMs = 0;
+    /** Answers "health" with no load at all. */
+    bool lieAboutHealth = false;
+    std::int64_t streamIntervalMs = 100;
+    std::uint64_t seed = 1;
+    /** File that gets "ran ID" and "misrouted ID" lines; none if empty. */
+    std::string log;
+};
+
+/** Stands in for a target: serves requests, bookings, streams and uploads with a number of slots. */
+class TargetStandin
+{
+public:
+    TargetStandin(boost::asio::io_context &context, const TargetStandinSettings &settings);
+
+    PeerAddress localAddress() const
+    {
+        return port_.localAddress();
+    }
+
+    /** Counters as a JSON object. */
+    std::string stats();
+
+private:
+    /** What the target knows of one peer socket, that is, of one flow. */
+    struct Session {
+        std::unique_ptr<TcpEndpoint> tcp;
+        std::string unread;
+        std::set<std::string> seen;
+        std::string stream;
+        std::int64_t nextData = 0;
+        std::string upload;
+        std::int64_t nextChunk = 0;
+        Timestamp lastHeard;
+    };
+
+    struct Job {
+        PeerAddress peer;
+        StandinMessage message;
+    };
+
+    void receive(const PeerAddress &from, std::string_view datagram);
+    void receiveSegment(const PeerAddress &from, Session &session, std::string_view packet);
+    void handle(const PeerAddress &from, Session &session, const StandinMessage &message);
+    void handleJob(const PeerAddress &from, Session &session, const StandinMessage &message);
+    void handleChunk(const PeerAddress &from, Session &session, const StandinMessage &message);
+    void handleStream(const PeerAddress &from, Session &session, const StandinMessage &message);
+    void startJobs();
+    void finishJob(const Job &job);
+    void reply(const PeerAddress &to, const StandinMessage &request, const std::string &verb, std::int64_t number);
+    void tick();
+    void sendStreamData();
+    void countBusyTime();
+    void record(const std::string &verb, const std::string &id);
+    std::int64_t openStreams() const;
+
+    TargetStandinSettings settings_;
+    SystemClock clock_;
+    Timestamp started_;
+    boost::asio::io_context &context_;
+    std::mt19937_64 random_;
+    std::map<PeerAddress, Session> sessions_;
+    std::deque<Job> waiting_;
+    std::int64_t busy_ = 0;
+    std::int64_t busyMs_ = 0;
+    std::int64_t streamMs_ = 0;
+    Timestamp counted_;
+    Timestamp nextData_;
+    std::uint64_t ran_ = 0;
+    std::uint64_t shed_ = 0;
+    std::uint64_t misrouted_ = 0;
+    std::ofstream log_;
+    boost::asio::steady_timer timer_;
+    DatagramPort port_;
+};
+
+/** The program `rhubarblane_standin target`. */
+int runTargetStandin(const std::vector<std::string> &arguments);
+
+} // namespace rhubarblane
+
+#endif
