Run membership and the control server in the balancer

Cause: balancers did not exchange targets, and their HTTP interface was not the one of the control package.

--- a/src/daemon/agentdaemon.cpp
+++ b/src/daemon/agentdaemon.cpp
@@ -71,12 +71,12 @@
 {
     if (settings_.http) {
         StatusHooks hooks;
-        hooks.metrics = [this] { return loop_.call([this] { return metrics(); }); };
-        hooks.dump = [this] { return loop_.call([this] { return dump(); }); };
-        try {
-            http_ = std::make_unique<StatusServer>(*settings_.http, std::move(hooks));
-        } catch (const std::exception &exception) {
-            return Error {ErrorCode::Unavailable, {}, std::string("--http: ") + exception.what()};
+        hooks.metrics = [this] { return loop_.call([this] { return metrics(); }).value_or(std::string()); };
+        hooks.dump = [this] { return loop_.call([this] { return dump().serialize(); }).value_or(std::string()); };
+        http_ = std::make_unique<StatusServer>(std::move(hooks));
+        if (std::optional<Error> error = http_->start(*settings_.http)) {
+            error->message.insert(0, "--http: ");
+            return error;
         }
     }
     logEvent(LogLevel::Info,
--- a/src/daemon/agentdaemon.h
+++ b/src/daemon/agentdaemon.h
@@ -11,6 +11,8 @@
 #include "daemon/statusserver.h"
 #include "daemon/targetlink.h"
 
+#include <cpprest/json.h>
+
 #include <memory>
 #include <optional>
 #include <string>
--- a/src/daemon/balancerdaemon.cpp
+++ b/src/daemon/balancerdaemon.cpp
@@ -26,6 +26,33 @@
     return result;
 }
 
+MembershipSettings membershipSettings(const Settings &settings, Incarnation incarnation)
+{
+    MembershipSettings result;
+    result.name = settings.name;
+    result.incarnation = incarnation;
+    result.address = settings.advertised();
+    result.httpAddress = settings.peerListen.value_or(PeerAddress {});
+    result.availabilityZone = settings.availabilityZone;
+    result.region = settings.region;
+    result.seeds = settings.balancers;
+    result.randomSeed = static_cast<std::uint64_t>(settings.seed) ^ balancerIdOf(settings.name).value();
+    return result;
+}
+
+ControlSettings controlSettings(const Settings &settings)
+{
+    ControlSettings result;
+    result.name = settings.name;
+    result.region = settings.region;
+    result.listenAddress = formatPeerAddress(*settings.http);
+    result.peerListenAddress = settings.peerListen ? formatPeerAddress(*settings.peerListen) : std::string();
+    result.storeUrl = settings.store ? "http://" + formatPeerAddress(*settings.store) : std::string();
+    result.apiKey = settings.apiKey;
+    result.seed = static_cast<std::uint64_t>(settings.seed) ^ balancerIdOf(settings.name).value();
+    return result;
+}
+
 } // namespace
 
 BalancerDaemon::BalancerDaemon(
@@ -35,12 +62,11 @@
     , fabric_(std::move(fabric))
     , peers_(std::move(peers))
     , core_(coreSettings(settings, incarnation))
+    , membership_(membershipSettings(settings, incarnation))
     , limitedLog_(LimitedLinesPerSecond)
 {
     fabric_.onPacket([this](std::string_view packet) { core_.handlePacket(loop_.now(), packet); });
-    peers_.onMessage([this](const PeerAddress &from, const wire::Envelope &message) {
-        core_.handleMessage(loop_.now(), from, message);
-    });
+    peers_.onMessage([this](const PeerAddress &from, const wire::Envelope &message) { handleMessage(from, message); });
     loop_.add(fabric_.socket().descriptor(), [this] { receivePackets(); });
     loop_.add(peers_.socket().descriptor(), [this] { receiveMessages(); });
     loop_.onTick([this](Timestamp now) { tick(now); });
@@ -59,13 +85,8 @@
         core_.applyConfiguration(valueOf(configuration));
     }
     if (settings_.http) {
-        StatusHooks hooks;
-        hooks.metrics = [this] { return loop_.call([this] { return metrics(); }); };
-        hooks.dump = [this] { return loop_.call([this] { return dump(); }); };
-        try {
-            http_ = std::make_unique<StatusServer>(*settings_.http, std::move(hooks));
-        } catch (const std::exception &exception) {
-            return Error {ErrorCode::Unavailable, {}, std::string("--http: ") + exception.what()};
+        if (std::optional<Error> error = startControl()) {
+            return error;
         }
     }
     logEvent(LogLevel::Info,
@@ -77,11 +98,37 @@
     return std::nullopt;
 }
 
+std::optional<Error> BalancerDaemon::startControl()
+{
+    control_ = std::make_unique<ControlServer>(controlSettings(settings_), controlHooks());
+    std::optional<Error> error = control_->start();
+    if (error) {
+        error->message = "--http or --peer-listen: " + error->field + ": " + error->message;
+    }
+    return error;
+}
+
+ControlHooks BalancerDaemon::controlHooks()
+{
+    ControlHooks hooks;
+    hooks.applyConfiguration = [this](const Configuration &configuration) {
+        loop_.post([this, configuration] { applyConfiguration(configuration); });
+    };
+    hooks.dump = [this] { return loop_.call([this] { return dump().serialize(); }).value_or("{}"); };
+    hooks.metrics = [this] { return loop_.call([this] { return metrics(); }).value_or(std::string()); };
+    hooks.targets = [this] { return loop_.call([this] { return targetsDump(core_).serialize(); }).value_or("[]"); };
+    hooks.inForce = [this] {
+        return loop_.call([this] { return balancerRevisions(); }).value_or(std::vector<BalancerRevision>());
+    };
+    return hooks;
+}
+
 std::string BalancerDaemon::metrics() const
 {
     MetricsText text;
     addBalancerMetrics(text, core_);
     addSocketMetrics(text, fabric_.socket(), peers_);
+    text.gauge("balancers", "Known balancers, this one included.", static_cast<double>(membership_.members().size()));
     text.summary("round_seconds", "Time to handle one batch of packets.", rounds_);
     return text.text();
 }
@@ -110,10 +157,93 @@
     perform();
 }
 
+void BalancerDaemon::handleMessage(const PeerAddress &from, const wire::Envelope &message)
+{
+    if (message.has_gossip()) {
+        membership_.handleMessage(loop_.now(), from, message.gossip());
+        return;
+    }
+    core_.handleMessage(loop_.now(), from, message);
+    if (message.has_announce()) {
+        shareTarget(TargetId(message.announce().entry().target()));
+    }
+}
+
+void BalancerDaemon::applyConfiguration(const Configuration &configuration)
+{
+    if (!core_.applyConfiguration(configuration)) {
+        return;
+    }
+    membership_.setConfiguration(configuration.revision, configuration.digest);
+    logEvent(LogLevel::Info,
+             "configurationInForce",
+             {{"revision", std::to_string(configuration.revision.value())},
+              {"services", std::to_string(configuration.services.size())},
+              {"rules", std::to_string(configuration.rules.size())},
+              {"drains", std::to_string(configuration.drains.size())}});
+}
+
+void BalancerDaemon::shareTarget(TargetId target)
+{
+    const auto known = core_.targets().all().find(target);
+    if (known == core_.targets().all().end() || !known->second.leaseEnd) {
+        return;
+    }
+    announced_.insert(target);
+    membership_.setTarget(known->second.entry);
+}
+
+void BalancerDaemon::shareEndedLeases()
+{
+    for (auto position = announced_.begin(); position != announced_.end();) {
+        const wire::TargetEntry &entry = core_.targets().all().at(*position).entry;
+        if (entry.state() != wire::GONE) {
+            ++position;
+            continue;
+        }
+        logEvent(LogLevel::Warn, "targetGone", {{"target", entry.name()}});
+        membership_.setTarget(entry);
+        position = announced_.erase(position);
+    }
+}
+
+std::vector<BalancerRevision> BalancerDaemon::balancerRevisions() const
+{
+    const std::optional<ConfigurationPeer> newest = membership_.newestConfigurationPeer();
+    const Configuration &own = core_.configuration();
+    const Revision revision = newest ? newest->revision : own.revision;
+    const InForceCount count = membership_.inForceCount(revision);
+    std::vector<BalancerRevision> result;
+    for (const MemberView &member : membership_.members()) {
+        BalancerRevision entry {member.name, revision, newest ? newest->digest : own.digest, member.httpAddress};
+        const bool lags = std::find(count.lagging.begin(), count.lagging.end(), member.name) != count.lagging.end();
+        if (member.name == settings_.name) {
+            entry.revision = own.revision;
+            entry.digest = own.digest;
+        } else if (lags) {
+            entry.revision = Revision();
+            entry.digest = 0;
+        }
+        result.push_back(std::move(entry));
+    }
+    return result;
+}
+
 void BalancerDaemon::tick(Timestamp now)
 {
     core_.tick(now);
+    shareEndedLeases();
+    membership_.tick(now);
     perform();
+    logDrops(now);
+    if (leaveAt_ && now >= *leaveAt_) {
+        logEvent(LogLevel::Info, "stopped", {{"role", "balancer"}, {"name", settings_.name}});
+        loop_.stop();
+    }
+}
+
+void BalancerDaemon::logDrops(Timestamp now)
+{
     const BalancerCounters &counters = core_.counters();
     if (counters.noTarget != std::exchange(loggedNoTarget_, counters.noTarget)) {
         limitedLog_.log(now, LogLevel::Warn, "noTarget", {{"packets", std::to_string(counters.noTarget)}});
@@ -121,10 +251,6 @@
     if (counters.unknownService != std::exchange(loggedUnknownService_, counters.unknownService)) {
         limitedLog_.log(now, LogLevel::Warn, "unknownService", {{"packets", std::to_string(counters.unknownService)}});
     }
-    if (leaveAt_ && now >= *leaveAt_) {
-        logEvent(LogLevel::Info, "stopped", {{"role", "balancer"}, {"name", settings_.name}});
-        loop_.stop();
-    }
 }
 
 void BalancerDaemon::terminate()
@@ -134,11 +260,19 @@
     }
     const Milliseconds delay = std::min(settings_.leaveDelay, settings_.shutdownDeadline);
     leaveAt_ = loop_.now() + delay;
+    membership_.leave(loop_.now());
+    perform();
     logEvent(LogLevel::Info, "leaving", {{"role", "balancer"}, {"delayMs", std::to_string(delay.count())}});
 }
 
 void BalancerDaemon::perform()
 {
+    for (const wire::TargetEntry &entry : membership_.takeChangedTargets()) {
+        core_.mergeTarget(loop_.now(), entry);
+    }
+    for (const MembershipSend &action : membership_.takeActions()) {
+        peers_.send(action.to, action.message);
+    }
     for (const BalancerSend &action : core_.takeActions()) {
         peers_.send(action.to, action.message);
     }
--- a/src/daemon/balancerdaemon.h
+++ b/src/daemon/balancerdaemon.h
@@ -2,17 +2,22 @@
 #define RHUBARBLANE_DAEMON_BALANCERDAEMON_H
 
 #include "balancer/balancercore.h"
+#include "control/controlserver.h"
 #include "daemon/durationsummary.h"
 #include "daemon/eventloop.h"
 #include "daemon/fabricio.h"
 #include "daemon/logs.h"
 #include "daemon/sealedtransport.h"
 #include "daemon/settings.h"
-#include "daemon/statusserver.h"
+#include "membership/membershipcore.h"
+
+#include <cpprest/json.h>
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace rhubarblane
 {
@@ -32,8 +37,16 @@
     web::json::value dump() const;
 
 private:
+    std::optional<Error> startControl();
+    ControlHooks controlHooks();
     void receivePackets();
     void receiveMessages();
+    void handleMessage(const PeerAddress &from, const wire::Envelope &message);
+    void applyConfiguration(const Configuration &configuration);
+    void shareTarget(TargetId target);
+    void shareEndedLeases();
+    std::vector<BalancerRevision> balancerRevisions() const;
+    void logDrops(Timestamp now);
     void tick(Timestamp now);
     void terminate();
     void perform();
@@ -43,12 +56,16 @@
     FabricIo fabric_;
     SealedTransport peers_;
     BalancerCore core_;
+    MembershipCore membership_;
+    /** Targets that announce here and are not gone. */
+    std::set<TargetId> announced_;
     LimitedLog limitedLog_;
     DurationSummary rounds_;
     std::optional<Timestamp> leaveAt_;
-    std::unique_ptr<StatusServer> http_;
     std::uint64_t loggedNoTarget_ = 0;
     std::uint64_t loggedUnknownService_ = 0;
+    // Last, so that its threads end before anything that the hooks use.
+    std::unique_ptr<ControlServer> control_;
 };
 
 } // namespace rhubarblane
--- a/src/daemon/balancerreport.cpp
+++ b/src/daemon/balancerreport.cpp
@@ -61,12 +61,8 @@
     }
 }
 
-web::json::value balancerDump(const BalancerCore &core)
+web::json::value targetsDump(const BalancerCore &core)
 {
-    web::json::value counters = web::json::value::object();
-    for (const CounterSpec &spec : Counters) {
-        counters[spec.name] = web::json::value(core.counters().*spec.count);
-    }
     web::json::value targets = web::json::value::array();
     for (const auto &[target, known] : core.targets().all()) {
         web::json::value entry = toJson(known.entry);
@@ -78,6 +74,15 @@
         entry["expectedWaitMs"] = web::json::value(known.load.expected_wait_ms());
         targets[targets.size()] = entry;
     }
+    return targets;
+}
+
+web::json::value balancerDump(const BalancerCore &core)
+{
+    web::json::value counters = web::json::value::object();
+    for (const CounterSpec &spec : Counters) {
+        counters[spec.name] = web::json::value(core.counters().*spec.count);
+    }
     web::json::value configuration = web::json::value::object();
     configuration["revision"] = web::json::value(core.configuration().revision.value());
     configuration["services"] = resourcesToJson(core.configuration().services);
@@ -86,7 +91,7 @@
     web::json::value json = web::json::value::object();
     json["counters"] = counters;
     json["cachedFlows"] = web::json::value(static_cast<std::uint64_t>(core.cachedFlows()));
-    json["targets"] = targets;
+    json["targets"] = targetsDump(core);
     json["configuration"] = configuration;
     return json;
 }
--- a/src/daemon/balancerreport.h
+++ b/src/daemon/balancerreport.h
@@ -11,6 +11,9 @@
 
 void addBalancerMetrics(MetricsText &text, const BalancerCore &core);
 
+/** Known targets as a JSON array. */
+web::json::value targetsDump(const BalancerCore &core);
+
 /** Counters, configuration and targets of a balancer. */
 web::json::value balancerDump(const BalancerCore &core);
 
--- a/src/daemon/eventloop.cpp
+++ b/src/daemon/eventloop.cpp
@@ -81,6 +81,7 @@
     {
         const std::lock_guard<std::mutex> lock(postedMutex_);
         if (ended_) {
+            // Dropped by leaving the scope, which breaks the promise of a waiting call().
             return;
         }
         posted_.push_back(std::move(task));
--- a/src/daemon/eventloop.h
+++ b/src/daemon/eventloop.h
@@ -7,7 +7,9 @@
 #include <future>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace rhubarblane
@@ -38,16 +40,20 @@
     void post(Handler task);
 
     /**
-     * Runs `query` on the loop's thread and waits for its result. Must not be called on the loop's thread. Throws
-     * std::future_error when run() has ended.
+     * Runs `query` on the loop's thread and waits for its result; none when run() has ended. Must not be called on the
+     * loop's thread.
      */
     template<typename Query>
-    auto call(Query query) -> decltype(query())
+    auto call(Query query) -> std::optional<decltype(query())>
     {
         auto task = std::make_shared<std::packaged_task<decltype(query())()>>(std::move(query));
         auto result = task->get_future();
-        post([task] { (*task)(); });
-        return result.get();
+        post([task = std::move(task)] { (*task)(); });
+        try {
+            return result.get();
+        } catch (const std::future_error &) {
+            return std::nullopt;
+        }
     }
 
     /** Runs until stop(). SIGTERM and SIGINT must be blocked; they reach the handler of onTerminate(). */
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -151,6 +151,10 @@
     if (settings.role == Role::Agent && settings.balancers.empty() && errors.find("balancers") == std::string::npos) {
         errors += "--balancers (RHUBARBLANE_BALANCERS): missing; allowed: at least one balancer's address\n";
     }
+    if (settings.role == Role::Balancer && !settings.http && (settings.store || settings.peerListen)
+        && errors.find("--http") == std::string::npos) {
+        errors += "--http (RHUBARBLANE_HTTP): missing; allowed: an address, required by --store and --peer-listen\n";
+    }
     if (!errors.empty()) {
         errors.pop_back();
         return usageError(errors);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -39,7 +39,8 @@
     // Balancer.
     std::optional<PeerAddress> fabricListen;
     std::optional<PeerAddress> store;
-    std::string apiKeyFile;
+    std::optional<PeerAddress> peerListen;
+    std::string apiKey;
     std::string configuration;
     std::int64_t flowCacheLimit = 1000000;
     Milliseconds leaveDelay = Milliseconds(1000);
--- a/src/daemon/settingsflags.cpp
+++ b/src/daemon/settingsflags.cpp
@@ -129,6 +129,15 @@
     return settings.key.size() >= ShortestKey;
 }
 
+Store storeContent(std::string Settings::*member)
+{
+    return [member](Settings &settings, const std::string &value) {
+        std::ifstream file(value, std::ios::binary);
+        (settings.*member).assign(std::istreambuf_iterator<char>(file), {});
+        return !(settings.*member).empty();
+    };
+}
+
 Store storeReadableFile(std::string Settings::*member)
 {
     return [member](Settings &settings, const std::string &value) {
@@ -224,12 +233,16 @@
                     "UDP address for IP packets from the fabric",
                     &Settings::fabricListen),
         addressFlag("store", FlagUse::Balancer, "etcd JSON gateway of the store", &Settings::store),
+        addressFlag("peer-listen",
+                    FlagUse::Balancer,
+                    "TCP address where other balancers fetch the configuration",
+                    &Settings::peerListen),
         {"api-key-file",
          FlagUse::Balancer,
          "FILE",
          "file with the operators' API key",
-         "a readable file",
-         storeReadableFile(&Settings::apiKeyFile)},
+         "a readable file that is not empty",
+         storeContent(&Settings::apiKey)},
         {"configuration",
          FlagUse::Balancer,
          "FILE",
--- a/src/daemon/statusserver.h
+++ b/src/daemon/statusserver.h
@@ -1,38 +1,38 @@
 #ifndef RHUBARBLANE_DAEMON_STATUSSERVER_H
 #define RHUBARBLANE_DAEMON_STATUSSERVER_H
 
+#include "wire/httpserver.h"
 #include "wire/peeraddress.h"
 
-#include <cpprest/http_listener.h>
-#include <cpprest/json.h>
-
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace rhubarblane
 {
 
-/** What an agent's HTTP server answers with. The functions run on HTTP threads. */
+/** What an agent's HTTP server answers with, as text. The functions run on HTTP threads. */
 struct StatusHooks {
     std::function<std::string()> metrics;
-    std::function<web::json::value()> dump;
+    std::function<std::string()> dump;
 };
 
 /** Serves GET /metrics and GET /v1/dump of an agent. */
 class StatusServer
 {
 public:
-    /** Throws web::http::http_exception if the address cannot be bound. */
-    StatusServer(const PeerAddress &listen, StatusHooks hooks);
+    explicit StatusServer(StatusHooks hooks);
     StatusServer(const StatusServer &) = delete;
     StatusServer &operator=(const StatusServer &) = delete;
     ~StatusServer();
 
+    std::optional<Error> start(const PeerAddress &listen);
+
 private:
     void handle(const web::http::http_request &request);
 
     StatusHooks hooks_;
-    web::http::experimental::listener::http_listener listener_;
+    HttpServer http_;
 };
 
 } // namespace rhubarblane
