Run both deployments in the demo

Cause: the demo had one service and one kind of request.

Before: 1 service, 3 targets, requests only. After: 4 services on 22 unequal targets; streams, exports, bookings and uploads while balancers are killed, added and stopped and agents drain.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Builds, runs balancers, agents and targets with load while parts of them fail, and checks the promises.
-# Usage: demo.sh [BUILD_DIR]; RHUBARBLANE_DEMO_PORT moves the range of 200 loopback ports.
+# Builds, runs the services of both reference deployments under load while balancers, targets, the configuration and
+# the store change, and checks the promises. Exits with 1 if one broke.
+# Usage: demo.sh [BUILD_DIR]; RHUBARBLANE_DEMO_PORT moves the range of 300 loopback ports.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
@@ -12,16 +13,8 @@
 pids=()
 failed=1
 
-stop_all() {
-    for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-    for pid in "${pids[@]}"; do
-        for _ in 1 2 3 4 5 6 7 8 9 10; do kill -0 "$pid" 2>/dev/null || break; sleep 0.1; done
-        kill -9 "$pid" 2>/dev/null || true
-        wait "$pid" 2>/dev/null || true
-    done
-    if [ "$failed" -eq 0 ]; then rm -rf "$run"; else echo "logs are in $run" >&2; fi
-}
-trap stop_all EXIT
+# Ports: 0-2 fabric, 10-13 balancers, 20-23 their fabric side, 30-33 HTTP, 40-43 peers, 50 store, 100-299 targets.
+address() { echo "127.0.0.1:$((base + $1))"; }
 
 # start NAME COMMAND...: runs a process; its id is in started.
 start() {
@@ -32,44 +25,119 @@
     pids+=("$started")
 }
 
-address() { echo "127.0.0.1:$((base + $1))"; }
+# await PID SECONDS: waits for the end of a process.
+await() {
+    local i
+    for ((i = 0; i < $2 * 10; ++i)); do
+        kill -0 "$1" 2>/dev/null || return 0
+        sleep 0.1
+    done
+    return 1
+}
+
+stop_all() {
+    local pid
+    for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
+    wait 2>/dev/null || true
+    if [ "$failed" -eq 0 ]; then rm -rf "$run"; else echo "logs are in $run" >&2; fi
+}
+trap stop_all EXIT
 
+say() { printf '%5.1f s  %s\n' "$(($(date +%s%N) / 1000000 - begin))e-3" "$*"; }
+
+start_balancer() {
+    start "balancer-$1" "$daemon" balancer --name="balancer-$1" --listen="$(address $((10 + $1)))" \
+        --fabric-listen="$(address $((20 + $1)))" --http="$(address $((30 + $1)))" \
+        --peer-listen="$(address $((40 + $1)))" --balancers="$balancers" --key-file="$run/key" \
+        --configuration="$run/configuration"
+    balancer[$1]=$started
+}
+
+# start_service SERVICE FIRST_PORT SLOTS SPEED...: one target and agent for each speed.
+start_service() {
+    local service=$1 port=$2 slots=$3 number=1 speed name
+    shift 3
+    for speed in "$@"; do
+        name=$service-$number
+        start "target-$name" "$standin" target --name="$name" --service="$service" --listen="$(address "$port")" \
+            --slots="$slots" --speed="$speed" --seed="$port" --log="$run/target-$name.log"
+        start "agent-$name" "$daemon" agent --name="$name" --listen="$(address $((port + 1)))" \
+            --balancers="$balancers" --key-file="$run/key" --fabric="$(address 1)" --target="$(address "$port")" \
+            --labels="app=$service" --slots="$slots" --capacity-milli="$((speed * 1000))"
+        agent[$name]=$started
+        port=$((port + 2))
+        number=$((number + 1))
+    done
+}
+
+# start_callers NAME SERVICE SERVICE_ADDRESS CALLER_ADDRESS FLAG...
+start_callers() {
+    local name=$1 service=$2 where=$3 from=$4
+    shift 4
+    start "callers-$name" "$standin" callers --name="$name" --service="$service" --service-address="$where" \
+        --address="$from" --fabric="$(address 0)" --duration-ms="$duration" --log="$run/callers-$name.log" "$@"
+    callers+=("$started")
+}
+
+fabric() { echo "$1 $(address $((20 + $2)))" >"/dev/udp/127.0.0.1/$((base + 2))"; }
+
+declare -A agent balancer
+callers=()
+duration=30000
+balancers="$(address 10),$(address 11),$(address 12),$(address 13)"
 head -c 32 /dev/urandom >"$run/key"
+service() { # NAME ADDRESS PORT KIND AT_MOST_ONCE
+    echo "\"$1\": {\"address\": \"$2\", \"port\": $3, \"kind\": \"$4\", \"atMostOnce\": $5, \"idleTimeoutMs\": 10000}"
+}
+rule() { echo "\"$1\": {\"service\": \"$1\", \"selector\": {\"labels\": {\"app\": \"$1\"}}}"; }
 cat >"$run/configuration" <<JSON
-{"revision": 1,
- "services": {"readings": {"address": "10.100.0.1", "port": 5000, "kind": "request", "idleTimeoutMs": 10000}},
- "rules": {"readings": {"service": "readings", "selector": {"labels": {"app": "readings"}}}}}
+{"services": {$(service readings 10.100.0.1 5000 stream false),
+              $(service archive 10.100.0.2 5001 stream false),
+              $(service booking-desk 10.101.0.1 6000 request true),
+              $(service log-intake 10.101.0.2 6001 stream true)},
+ "rules": {$(rule readings), $(rule archive), $(rule booking-desk), $(rule log-intake)}}
 JSON
 
-peers="$(address 10),$(address 11),$(address 12)"
+begin=$(($(date +%s%N) / 1000000))
 start fabric "$standin" fabric --callers-listen="$(address 0)" --answers-listen="$(address 1)" \
     --control-listen="$(address 2)" --balancers="$(address 20),$(address 21),$(address 22)"
-for i in 0 1 2; do
-    start "balancer-$i" "$daemon" balancer --name="balancer-$i" --listen="$(address $((10 + i)))" \
-        --fabric-listen="$(address $((20 + i)))" --key-file="$run/key" --configuration="$run/configuration" \
-        --http="$(address $((30 + i)))"
-    eval "balancer$i=$started"
-done
-for i in 1 2 4; do
-    start "target-$i" "$standin" target --name="readings-$i" --service=readings --listen="$(address $((40 + i)))" \
-        --slots=4 --speed="$i" --log="$run/target-$i.log"
-    start "agent-$i" "$daemon" agent --name="readings-$i" --listen="$(address $((50 + i)))" --key-file="$run/key" \
-        --balancers="$peers" --fabric="$(address 1)" --target="$(address $((40 + i)))" --labels=app=readings \
-        --slots=4 --capacity-milli="${i}000"
-done
-sleep 3
-callers=()
-start callers-requests "$standin" callers --name=requests --fabric="$(address 0)" --address=10.200.0.1 \
-    --service=readings --service-address=10.100.0.1:5000 --rate=200 --work-ms=20 --duration-ms=8000 \
-    --log="$run/callers-requests.log"
-callers+=("$started")
+start store "$standin" store --listen="$(address 50)"
+for i in 0 1 2; do start_balancer "$i"; done
+start_service readings 100 4 1 1 2 2 4 4 8
+start_service archive 120 4 1 2 4 8
+start_service booking-desk 140 2 1 1 2 2 4 4 8
+start_service log-intake 160 2 1 2 4 8
+sleep 4
+say "3 balancers and 22 targets run; callers start"
+start_callers streams readings 10.100.0.1:5000 10.200.0.1 --kind=stream --flows=100
+start_callers exports archive 10.100.0.2:5001 10.200.0.2 --kind=stream --flows=30
+start_callers bookings booking-desk 10.101.0.1:6000 10.200.0.3 --kind=booking --rate=150 --work-ms=100
+start_callers uploads log-intake 10.101.0.2:6001 10.200.0.4 --kind=upload --flows=30 --chunks=30
+sleep 4
+say "kill balancer-2"
+kill -9 "${balancer[2]}"
+sleep 0.3
+fabric remove 2
 sleep 3
-echo "kill balancer-2"
-kill -9 "$balancer2"
-sleep 0.2
-echo "remove $(address 22)" >"/dev/udp/127.0.0.1/$((base + 2))"
-for pid in "${callers[@]}"; do wait "$pid"; done
+say "add balancer-3"
+start_balancer 3
+sleep 2
+fabric add 3
+sleep 2
+say "stop agent of readings-7 gracefully"
+kill -TERM "${agent[readings-7]}"
+sleep 2
+say "stop agent of booking-desk-3 gracefully"
+kill -TERM "${agent[booking-desk-3]}"
+await "${agent[booking-desk-3]}" 10 || say "agent of booking-desk-3 still runs"
+say "stop balancer-0 gracefully"
+fabric remove 0
+kill -TERM "${balancer[0]}"
+for pid in "${callers[@]}"; do await "$pid" 40 || say "callers still run"; done
+say "callers have ended"
 for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
 sleep 1
-"$standin" report "$run" && failed=0
-exit "$failed"
+status=0
+"$standin" report "$run" || status=$?
+failed=$status
+exit "$status"
--- a/src/standins/callerstandin.cpp
+++ b/src/standins/callerstandin.cpp
@@ -171,7 +171,7 @@
     }
     const Milliseconds timeout(settings_.timeoutMs);
     if (now - flow.lastAnswer >= timeout) {
-        end(flow, flow.answered ? &CallerCounters::broken : &CallerCounters::unanswered);
+        end(flow, flow.answered ? &CallerCounters::broken : &CallerCounters::unanswered, "timeout");
         return;
     }
     // TCP repeats what is lost. A booking is never sent twice, because its target may already have run it.
@@ -269,14 +269,11 @@
 void CallerStandin::handleUnreachable(Flow &flow, int code)
 {
     if (flow.answered) {
-        end(flow, &CallerCounters::broken);
+        end(flow, &CallerCounters::broken, "icmp" + std::to_string(code));
     } else if (code == NotRunCode) {
-        if (log_.is_open()) {
-            log_ << "refused " << flow.id << std::endl;
-        }
-        end(flow, &CallerCounters::refused);
+        end(flow, &CallerCounters::refused, "icmp13");
     } else {
-        end(flow, &CallerCounters::unknown);
+        end(flow, &CallerCounters::unknown, "icmp" + std::to_string(code));
     }
 }
 
@@ -299,9 +296,9 @@
     flow.answered = true;
     flow.lastAnswer = now;
     if (message.verb == "busy") {
-        end(flow, &CallerCounters::busy);
+        end(flow, &CallerCounters::busy, "busy");
     } else if (message.verb == "reset") {
-        end(flow, &CallerCounters::broken);
+        end(flow, &CallerCounters::broken, "reset");
     } else if (message.verb == "data") {
         handleData(flow, message);
     } else if (message.verb == "got") {
@@ -339,12 +336,19 @@
 void CallerStandin::complete(Timestamp now, Flow &flow)
 {
     responseMs_.push_back((now - flow.opened).count());
-    end(flow, &CallerCounters::completed);
+    end(flow, &CallerCounters::completed, "answered");
 }
 
-void CallerStandin::end(Flow &flow, std::uint64_t CallerCounters::*outcome)
+void CallerStandin::end(Flow &flow, std::uint64_t CallerCounters::*outcome, const std::string &reason)
 {
     ++(counters_.*outcome);
+    if (log_.is_open() && outcome != &CallerCounters::completed) {
+        const auto name = std::find_if(CounterNames.begin(), CounterNames.end(), [outcome](const CounterName &entry) {
+            return entry.count == outcome;
+        });
+        log_ << name->name << " " << flow.id << " port=" << flow.port << " reason=" << reason
+             << " afterMs=" << (clock_.now() - flow.opened).count() << std::endl;
+    }
     ended_.push_back(flow.port);
     // Erased on the next tick; without an id it takes no more answers.
     flow.id.clear();
--- a/src/standins/callerstandin.h
+++ b/src/standins/callerstandin.h
@@ -49,7 +49,7 @@
     std::int64_t durationMs = 10000;
     std::int64_t timeoutMs = 5000;
     std::uint64_t seed = 1;
-    /** File that gets "refused ID" lines; none if empty. */
+    /** File that gets a line for each flow that was not completed, as "refused ID ..."; none if empty. */
     std::string log;
 };
 
@@ -125,7 +125,7 @@
     void handleData(Flow &flow, const StandinMessage &message);
     void handleGot(Timestamp now, Flow &flow, const StandinMessage &message);
     void complete(Timestamp now, Flow &flow);
-    void end(Flow &flow, std::uint64_t CallerCounters::*outcome);
+    void end(Flow &flow, std::uint64_t CallerCounters::*outcome, const std::string &reason);
     bool isLong() const;
     bool isOver(Timestamp now) const;
 
