--- a/src/agent/agentcore.cpp
+++ b/src/agent/agentcore.cpp
@@ -20,6 +20,7 @@
 
 AgentCore::AgentCore(AgentSettings settings)
     : settings_(std::move(settings))
+    , placement_(settings_)
 {
     self_.set_target(targetIdOf(settings_.name).value());
     self_.set_incarnation(settings_.incarnation.value());
@@ -104,7 +105,7 @@
 
 void AgentCore::decide(Timestamp now, const FlowTuple &flow, const wire::Forward &message)
 {
-    const std::vector<TargetId> candidates = Placement::candidatesFor(flowHashOf(flow), roster_);
+    const std::vector<TargetId> candidates = placement_.candidatesFor(flowHashOf(flow), roster_);
     Decision &decision = decisions_[flow];
     decision.attempt = nextAttempt_++;
     decision.changed = now;
@@ -136,9 +137,10 @@
         sendPlaceResult(message, true);
         return;
     }
-    const bool canAccept = Placement::canAccept(self_, load(), settings_);
+    const bool canAccept = placement_.canAccept(self_, load());
     const bool isCandidate = !message.candidates().empty() && message.candidates(0) == self_.target();
     if (message.final()) {
+        placement_.offerTaken();
         const bool accepted = canAccept;
         if (accepted) {
             accept(now, flow, message.forward());
@@ -148,15 +150,16 @@
     }
     wire::Place next = message;
     if (isCandidate) {
-        if (canAccept && Placement::hasFreeSlot(load(), settings_)) {
+        if (canAccept && placement_.acceptsAtOnce(load())) {
             accept(now, flow, message.forward());
             sendPlaceResult(message, true);
             return;
         }
-        const std::uint64_t wait = Placement::expectedWait(load(), settings_);
-        if (canAccept && (!next.has_best() || wait < next.best().expected_wait_ms())) {
+        const std::uint64_t wait = placement_.expectedWait(load());
+        if (canAccept && placement_.isBetterOffer(next, wait)) {
             next.mutable_best()->set_target(self_.target());
             next.mutable_best()->set_expected_wait_ms(wait);
+            placement_.offerMade(now);
         }
         next.mutable_candidates()->erase(next.candidates().begin());
     }
@@ -258,6 +261,8 @@
     if (record->active && service_ && service_->request_kind()) {
         record->active = false;
         --activeFlows_;
+        placement_.requestCompleted();
+        placement_.activeChanged(now, activeFlows_);
     }
 }
 
@@ -271,6 +276,11 @@
 
 void AgentCore::tick(Timestamp now)
 {
+    if (placement_.tick(now)) {
+        self_.set_capacity_milli(placement_.weightMilli());
+        self_.set_sequence(self_.sequence() + 1);
+        roster_.merge(self_);
+    }
     if (now >= nextAnnounce_) {
         announce(now);
     }
@@ -308,7 +318,7 @@
     *message->mutable_entry() = self_;
     message->mutable_load()->set_busy_slots(std::min(activeFlows_, settings_.slots));
     message->mutable_load()->set_open_flows(static_cast<std::uint32_t>(flows_.size()));
-    message->mutable_load()->set_expected_wait_ms(Placement::expectedWait(load(), settings_));
+    message->mutable_load()->set_expected_wait_ms(placement_.expectedWait(load()));
     message->set_sent_ms(static_cast<std::uint64_t>(now.milliseconds()));
     message->set_configuration_revision(configurationRevision_);
     for (const PeerAddress &balancer : settings_.balancers) {
@@ -320,6 +330,7 @@
 {
     FlowRecord &record = flows_.insert(flow, now);
     ++activeFlows_;
+    placement_.activeChanged(now, activeFlows_);
     ++counters_.accepted;
     deliver(now, record, message.packet());
 }
@@ -340,6 +351,7 @@
     }
     if (record->active) {
         --activeFlows_;
+        placement_.activeChanged(now, activeFlows_);
     }
     actions_.emplace_back(CloseFlow {flow, record->number});
     flows_.erase(flow);
--- a/src/agent/agentcore.h
+++ b/src/agent/agentcore.h
@@ -130,6 +130,7 @@
     std::optional<wire::ServiceSettings> service_;
     GroupRoster roster_;
     FlowTable flows_;
+    Placement placement_;
     std::unordered_map<FlowTuple, Decision> decisions_;
     std::uint32_t activeFlows_ = 0;
     std::uint64_t nextAttempt_ = 1;
--- a/src/agent/placement.h
+++ b/src/agent/placement.h
@@ -3,9 +3,11 @@
 
 #include "agent/agentsettings.h"
 #include "agent/grouproster.h"
+#include "base/clock.h"
 #include "base/ids.h"
 
 #include <cstdint>
+#include <deque>
 #include <vector>
 
 namespace rhubarblane
@@ -18,16 +20,65 @@
     std::size_t openFlows = 0;
 };
 
-/** Decides whether the local target takes a new flow, and which targets are asked for one. */
+/**
+ * Decides whether the local target takes a new flow, and which targets are asked for one. Learns the capacity of the
+ * local target from its own completed requests.
+ */
 class Placement
 {
 public:
-    static bool canAccept(const wire::TargetEntry &self, const LocalLoad &load, const AgentSettings &settings);
-    static bool hasFreeSlot(const LocalLoad &load, const AgentSettings &settings);
+    explicit Placement(const AgentSettings &settings);
+
+    bool canAccept(const wire::TargetEntry &self, const LocalLoad &load) const;
+    /** True if a candidate accepts at once instead of asking the next one. */
+    bool acceptsAtOnce(const LocalLoad &load) const;
+    /** True if the local target's offer replaces the best one of a flow that found no free slot so far. */
+    bool isBetterOffer(const wire::Place &place, std::uint64_t wait) const;
     /** Expected wait of a new request at the local target, in ms. */
-    static std::uint64_t expectedWait(const LocalLoad &load, const AgentSettings &settings);
+    std::uint64_t expectedWait(const LocalLoad &load) const;
     /** The targets that are asked in turn for a new flow. */
-    static std::vector<TargetId> candidatesFor(FlowHash flow, const GroupRoster &roster);
+    std::vector<TargetId> candidatesFor(FlowHash flow, const GroupRoster &roster) const;
+
+    /** The number of active flows became `activeFlows` at this time. */
+    void activeChanged(Timestamp now, std::uint32_t activeFlows);
+    /** The local target's offer became the best one of a flow. */
+    void offerMade(Timestamp now);
+    /** A flow came back to the local target because its offer was the best. */
+    void offerTaken();
+    /** An active flow got its answer; call activeChanged() as well. */
+    void requestCompleted();
+    /** Updates the capacity. Returns true if peers should learn of it. */
+    bool tick(Timestamp now);
+
+    /** Requests that one slot completes in 1000 s while it is in use. */
+    std::uint32_t capacityMilli() const
+    {
+        return capacityMilli_;
+    }
+    /** The capacity with the corrective term; peers draw this target in proportion to it. */
+    std::uint32_t weightMilli() const
+    {
+        return weightMilli_;
+    }
+
+private:
+    void integrate(Timestamp now);
+    double slotWait(const LocalLoad &load) const;
+
+    PlacementSettings settings_;
+    std::uint32_t slots_;
+    std::uint32_t queueLimit_;
+    std::size_t flowLimit_;
+    std::uint32_t capacityMilli_;
+    std::uint32_t weightMilli_;
+    std::uint32_t activeFlows_ = 0;
+    Timestamp integrated_;
+    Timestamp nextUpdate_;
+    double busyMs_ = 0.0;
+    double shareBusyMs_ = 0.0;
+    double shareElapsedMs_ = 0.0;
+    double completed_ = 0.0;
+    std::deque<Timestamp> offers_;
 };
 
 } // namespace rhubarblane
--- a/src/bench/corefleet.cpp
+++ b/src/bench/corefleet.cpp
@@ -113,6 +113,7 @@
         // All targets claim the same speed: the initial weights are wrong by up to 8-fold.
         settings.capacityMilli = 1000;
         settings.seed = network_.options.seed * 1000 + i;
+        settings.placement = network_.options.placement;
         agents_.push_back(std::make_unique<AgentCore>(settings));
     }
     tick();
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -50,6 +50,12 @@
     long long seed = 1;
     long long durationMs = options.durationMs;
     int listing = 0;
+    int handOnCostMs = static_cast<int>(options.placement.handOnCostMs);
+    int shareHalfLifeMs = static_cast<int>(options.placement.shareHalfLife.count());
+    int candidates = static_cast<int>(options.placement.candidates);
+    int declaredWeights = 0;
+    int zoneOrder = 0;
+    int halfLifeMs = static_cast<int>(options.placement.halfLife.count());
     int json = 0;
     const poptOption table[] = {
         {"list", 0, POPT_ARG_NONE, &listing, 0, "name scenarios, policies and deployments", nullptr},
@@ -61,6 +67,19 @@
         {"load", 0, POPT_ARG_DOUBLE, &options.load, 0, "share of the capacity that is requested (0.8)", "SHARE"},
         {"duration-ms", 0, POPT_ARG_LONGLONG, &durationMs, 0, "simulated time (60000)", "MS"},
         {"streams", 0, POPT_ARG_INT, &options.streamsPerTarget, 0, "open streams per target (100)", "N"},
+        {"candidates", 0, POPT_ARG_INT, &candidates, 0, "targets asked for one flow (5)", "N"},
+        {"accepted-wait-ms", 0, POPT_ARG_DOUBLE, &options.placement.acceptedWaitMs, 0,
+         "expected wait up to which a busy target accepts at once", "MS"},
+        {"declared-weights", 0, POPT_ARG_NONE, &declaredWeights, 0, "do not learn capacities", nullptr},
+        {"half-life-ms", 0, POPT_ARG_INT, &halfLifeMs, 0, "half-life of the learned capacity (10000)", "MS"},
+        {"correction", 0, POPT_ARG_DOUBLE, &options.placement.correction, 0, "corrective term of the weights", "GAIN"},
+        {"deviations", 0, POPT_ARG_DOUBLE, &options.placement.deviations, 0, "deviations added to the expected wait", "N"},
+        {"offer-weight", 0, POPT_ARG_DOUBLE, &options.placement.offerWeight, 0, "queue places of an open offer", "N"},
+        {"zone-order", 0, POPT_ARG_NONE, &zoneOrder, 0, "ask targets of one availability zone together", nullptr},
+        {"hysteresis", 0, POPT_ARG_DOUBLE, &options.placement.hysteresis, 0, "smallest change of a weight", "SHARE"},
+        {"maximum-step", 0, POPT_ARG_DOUBLE, &options.placement.maximumStep, 0, "largest change of a weight", "FACTOR"},
+        {"hand-on-cost-ms", 0, POPT_ARG_INT, &handOnCostMs, 0, "cost of going back to an earlier candidate", "MS"},
+        {"share-half-life-ms", 0, POPT_ARG_INT, &shareHalfLifeMs, 0, "half-life of the share in use (5000)", "MS"},
         {"json", 0, POPT_ARG_NONE, &json, 0, "print one JSON object (the only format)", nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
     const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
@@ -105,6 +124,21 @@
     if (options.streamsPerTarget < 0 || options.streamsPerTarget > 5000) {
         return fail("--streams: from 0 to 5000");
     }
+    if (candidates < 1 || candidates > 100) {
+        return fail("--candidates: from 1 to 100");
+    }
+    if (halfLifeMs < 1 || shareHalfLifeMs < 1) {
+        return fail("--half-life-ms, --share-half-life-ms: above 0");
+    }
+    if (handOnCostMs < 0) {
+        return fail("--hand-on-cost-ms: 0 or more");
+    }
+    options.placement.handOnCostMs = static_cast<std::uint64_t>(handOnCostMs);
+    options.placement.shareHalfLife = Milliseconds(shareHalfLifeMs);
+    options.placement.candidates = static_cast<std::size_t>(candidates);
+    options.placement.groupsByZone = zoneOrder != 0;
+    options.placement.learnsCapacity = declaredWeights == 0;
+    options.placement.halfLife = Milliseconds(halfLifeMs);
     options.scenario = &*foundScenario;
     options.deployment = &*foundDeployment;
     std::cout << Simulation(options).run() << '\n';
--- a/src/bench/report.cpp
+++ b/src/bench/report.cpp
@@ -59,6 +59,11 @@
         }
     }
 
+    for (std::vector<IdealArrival> &ofService : arrivals) {
+        std::stable_sort(ofService.begin(), ofService.end(),
+                         [](const IdealArrival &a, const IdealArrival &b) { return a.timeUs < b.timeUs; });
+    }
+
     std::vector<ShareMeter> idealMeters;
     std::vector<double> idealWaits;
     for (std::size_t service = 0; service < meters_.size(); ++service) {
--- a/src/bench/scenario.h
+++ b/src/bench/scenario.h
@@ -1,6 +1,7 @@
 #ifndef RHUBARBLANE_BENCH_SCENARIO_H
 #define RHUBARBLANE_BENCH_SCENARIO_H
 
+#include "agent/agentsettings.h"
 #include "wire/flowtuple.h"
 
 #include <cstdint>
@@ -52,6 +53,8 @@
     double load = 0.8;
     std::int64_t durationMs = 60000;
     int streamsPerTarget = 100;
+    /** For the measurement of alternatives to the default placement. */
+    PlacementSettings placement;
 };
 
 const std::vector<Scenario> &allScenarios();
