--- a/src/agent/placement.cpp
+++ b/src/agent/placement.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr Milliseconds UpdateInterval(250);
+constexpr Milliseconds UpdateInterval(1000);
 // Fewer completed requests than this give no usable mean service time.
 constexpr double MinimumCompleted = 10.0;
 
@@ -151,14 +151,14 @@
 
 void Placement::integrate(Timestamp now)
 {
-    if (now > integrated_) {
-        const double elapsedMs = static_cast<double>((now - integrated_).count());
+    if (integrated_ && now > *integrated_) {
+        const double elapsedMs = static_cast<double>((now - *integrated_).count());
         const std::uint32_t used = std::min(activeFlows_, slots_);
         busyMs_ += elapsedMs * used;
         shareBusyMs_ += elapsedMs * used / slots_;
         shareElapsedMs_ += elapsedMs;
-        integrated_ = now;
     }
+    integrated_ = integrated_ ? std::max(*integrated_, now) : now;
 }
 
 } // namespace rhubarblane
--- a/src/agent/placement.h
+++ b/src/agent/placement.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <vector>
 
 namespace rhubarblane
@@ -72,7 +73,7 @@
     std::uint32_t capacityMilli_;
     std::uint32_t weightMilli_;
     std::uint32_t activeFlows_ = 0;
-    Timestamp integrated_;
+    std::optional<Timestamp> integrated_;
     Timestamp nextUpdate_;
     double busyMs_ = 0.0;
     double shareBusyMs_ = 0.0;
--- a/src/bench/report.cpp
+++ b/src/bench/report.cpp
@@ -60,8 +60,9 @@
     }
 
     for (std::vector<IdealArrival> &ofService : arrivals) {
-        std::stable_sort(ofService.begin(), ofService.end(),
-                         [](const IdealArrival &a, const IdealArrival &b) { return a.timeUs < b.timeUs; });
+        std::stable_sort(ofService.begin(), ofService.end(), [](const IdealArrival &a, const IdealArrival &b) {
+            return a.timeUs < b.timeUs;
+        });
     }
 
     std::vector<ShareMeter> idealMeters;
