--- a/src/agent/agentcore.cpp
+++ b/src/agent/agentcore.cpp
@@ -42,6 +42,7 @@
 AgentCore::AgentCore(AgentSettings settings)
     : settings_(std::move(settings))
     , group_(entryOf(settings_))
+    , placement_(settings_)
 {
 }
 
@@ -115,7 +116,7 @@
 
 void AgentCore::decide(Timestamp now, const FlowTuple &flow, const wire::Forward &message)
 {
-    const std::vector<TargetId> candidates = Placement::candidatesFor(flowHashOf(flow), roster());
+    const std::vector<TargetId> candidates = placement_.candidatesFor(flowHashOf(flow), roster());
     Decision &decision = decisions_[flow];
     decision.attempt = nextAttempt_++;
     decision.changed = now;
@@ -147,9 +148,10 @@
         sendPlaceResult(message, true);
         return;
     }
-    const bool canAccept = Placement::canAccept(self(), load(), settings_);
+    const bool canAccept = placement_.canAccept(self(), load());
     const bool isCandidate = !message.candidates().empty() && message.candidates(0) == self().target();
     if (message.final()) {
+        placement_.offerTaken();
         const bool accepted = canAccept;
         if (accepted) {
             accept(now, flow, message.forward());
@@ -159,15 +161,16 @@
     }
     wire::Place next = message;
     if (isCandidate) {
-        if (canAccept && Placement::hasFreeSlot(load(), settings_)) {
+        if (canAccept && placement_.acceptsAtOnce(load())) {
             accept(now, flow, message.forward());
             sendPlaceResult(message, true);
             return;
         }
-        const std::uint64_t wait = Placement::expectedWait(load(), settings_);
-        if (canAccept && (!next.has_best() || wait < next.best().expected_wait_ms())) {
+        const std::uint64_t wait = placement_.expectedWait(load());
+        if (canAccept && placement_.isBetterOffer(next, wait)) {
             next.mutable_best()->set_target(self().target());
             next.mutable_best()->set_expected_wait_ms(wait);
+            placement_.offerMade(now);
         }
         next.mutable_candidates()->erase(next.candidates().begin());
     }
@@ -256,6 +259,9 @@
         for (const std::uint64_t removed : message.removed()) {
             group_.remove(now, TargetId(removed));
         }
+        if (placement_.tick(now)) {
+            group_.setCapacity(now, placement_.weightMilli());
+        }
         group_.tick(now, wireLoad());
     }
     if (message.drain() && !isDraining()) {
@@ -277,6 +283,8 @@
     if (record->active && service_ && service_->request_kind()) {
         record->active = false;
         --activeFlows_;
+        placement_.requestCompleted();
+        placement_.activeChanged(now, activeFlows_);
     }
 }
 
@@ -359,6 +367,7 @@
     FlowRecord &record = flows_.insert(flow, now);
     record.active = true;
     ++activeFlows_;
+    placement_.activeChanged(now, activeFlows_);
     ++counters_.accepted;
     deliver(now, record, message.packet());
 }
@@ -379,6 +388,7 @@
     }
     if (record->active) {
         --activeFlows_;
+        placement_.activeChanged(now, activeFlows_);
     }
     actions_.emplace_back(CloseFlow {flow, record->number});
     flows_.erase(flow);
@@ -494,7 +504,7 @@
     wire::Load result;
     result.set_busy_slots(std::min(activeFlows_, settings_.slots));
     result.set_open_flows(static_cast<std::uint32_t>(flows_.size()));
-    result.set_expected_wait_ms(Placement::expectedWait(load(), settings_));
+    result.set_expected_wait_ms(placement_.expectedWait(load()));
     return result;
 }
 
--- a/src/agent/agentcore.h
+++ b/src/agent/agentcore.h
@@ -137,6 +137,7 @@
     wire::MemberState announcedState_ = wire::JOINING;
     std::optional<wire::ServiceSettings> service_;
     FlowTable flows_;
+    Placement placement_;
     std::unordered_map<FlowTuple, Decision> decisions_;
     std::uint32_t activeFlows_ = 0;
     std::uint64_t nextAttempt_ = 1;
