--- a/src/agent/agentcontext.cpp
+++ b/src/agent/agentcontext.cpp
@@ -36,6 +36,7 @@
 AgentContext::AgentContext(AgentSettings agentSettings)
     : settings(std::move(agentSettings))
     , group(entryOf(settings))
+    , placement(settings)
     , random(settings.seed)
 {
 }
--- a/src/agent/agentcontext.h
+++ b/src/agent/agentcontext.h
@@ -69,6 +69,7 @@
     FlowTable flows;
     EndedFlows ended;
     std::uint32_t activeFlows = 0;
+    Placement placement;
     AgentCounters counters;
     std::vector<AgentAction> actions;
     /** Messages of this agent to itself; handled before the event returns. */
--- a/src/agent/agentcore.cpp
+++ b/src/agent/agentcore.cpp
@@ -240,6 +240,7 @@
         owned_.tick(now);
         outcomes_.tick(now);
     }
+    context_.placement.tick(now);
     runColdStart(now);
     runDrain(now);
     owned_.collectLately(now, registrations_);
@@ -348,7 +349,7 @@
     const std::int64_t duration = context_.settings.coldStart.count();
     const std::int64_t served = (now - *servingSince_).count();
     const std::int64_t step = served >= duration ? ColdStartSteps : 1 + served * (ColdStartSteps - 1) / duration;
-    const std::int64_t capacity = std::int64_t {context_.settings.capacityMilli} * step / ColdStartSteps;
+    const std::int64_t capacity = std::int64_t {context_.placement.weightMilli()} * step / ColdStartSteps;
     context_.group.setCapacity(now, static_cast<std::uint32_t>(std::max<std::int64_t>(capacity, 1)));
 }
 
@@ -373,7 +374,7 @@
     result.set_busy_slots(std::min(context_.activeFlows, context_.settings.slots));
     result.set_queued(context_.activeFlows - result.busy_slots());
     result.set_open_flows(static_cast<std::uint32_t>(context_.flows.size()));
-    result.set_expected_wait_ms(Placement::expectedWait(context_.load(), context_.settings));
+    result.set_expected_wait_ms(context_.placement.expectedWait(context_.load()));
     return result;
 }
 
--- a/src/agent/ownedflows.cpp
+++ b/src/agent/ownedflows.cpp
@@ -17,14 +17,14 @@
 
 OwnedFlows::OwnedFlows(AgentContext &context)
     : context_(context)
-    , admission_(context.settings)
+    , queueLimit_(context.settings.queueLimit)
 {
 }
 
 void OwnedFlows::configure(const wire::ServiceSettings &service)
 {
     halfOpen_.configure(service.max_flows_per_client(), service.priority());
-    admission_.queueLimit = shareOfPriority(context_.settings.queueLimit, service.priority());
+    queueLimit_ = shareOfPriority(context_.settings.queueLimit, service.priority());
 }
 
 void OwnedFlows::handle(Timestamp now, wire::Place &&message)
@@ -66,10 +66,14 @@
         ++context_.counters.malformed;
         return;
     }
+    if (message.final()) {
+        context_.placement.offerTaken();
+    }
     const bool canAccept = !context_.group.isSuperseded()
-        && Placement::canAccept(context_.group.self(), context_.load(), admission_)
+        && context_.placement.canAccept(context_.group.self(), context_.load())
+        && context_.activeFlows < context_.settings.slots + queueLimit_
         && context_.ended.size() < context_.settings.flowLimit;
-    const bool takes = canAccept && (message.final() || Placement::hasFreeSlot(context_.load(), admission_));
+    const bool takes = canAccept && (message.final() || context_.placement.acceptsAtOnce(context_.load()));
     const bool isTcp = flow.protocol == Protocol::Tcp;
     if (takes && (!isTcp || halfOpen_.tryOpen(flow.callerAddress))) {
         accept(now, flow, message);
@@ -82,10 +86,11 @@
         return;
     }
     if (canAccept && !takes) {
-        const std::uint64_t wait = Placement::expectedWait(context_.load(), admission_);
-        if (!message.has_best() || wait < message.best().expected_wait_ms()) {
+        const std::uint64_t wait = context_.placement.expectedWait(context_.load());
+        if (context_.placement.isBetterOffer(message, wait)) {
             message.mutable_best()->set_target(context_.id().value());
             message.mutable_best()->set_expected_wait_ms(wait);
+            context_.placement.offerMade(now);
         }
     }
     passOn(now, std::move(message));
@@ -125,7 +130,7 @@
     }
     record.halfOpen = flow.protocol == Protocol::Tcp;
     ++context_.counters.accepted;
-    setActive(record, context_.service->request_kind());
+    setActive(now, record, context_.service->request_kind());
     sendResult(message, true, record.number.value());
     // Not through deliver(): there the opening packet counts as a copy.
     const PacketPeek peek = peekPacket(flow.protocol, packet);
@@ -156,7 +161,7 @@
         record.finFromCaller = record.finFromCaller || peek.fin;
         noteClosing(now, record);
     } else if (context_.service && context_.service->request_kind()) {
-        setActive(record, true);
+        setActive(now, record, true);
     }
     const bool expectsAnswer =
         isTcp ? peek.expectsAnswer() : record.answered || (context_.service && context_.service->request_kind());
@@ -180,7 +185,10 @@
     silence_.fromTarget(now, record, peek);
     context_.actions.emplace_back(SendToCaller {std::move(packet)});
     if (!isTcp || peek.fin) {
-        setActive(record, false);
+        if (record.active) {
+            context_.placement.requestCompleted();
+        }
+        setActive(now, record, false);
     }
     if (peek.reset) {
         end(now, record, false);
@@ -223,7 +231,7 @@
         const std::string quoted = flow.protocol == Protocol::Udp ? buildUdpRequest(flow, "") : std::string();
         context_.actions.emplace_back(SendToCaller {buildRefusal(quoted, info, Refusal::Unknown)});
     }
-    setActive(record, false);
+    setActive(now, record, false);
     established(record);
     context_.actions.emplace_back(CloseFlow {flow, record.number});
     context_.ended.add(now, EndedFlow {flow, record.fingerprint, context_.selfKey(), number, now, std::nullopt});
@@ -393,13 +401,14 @@
     context_.sendTo(home, std::move(envelope));
 }
 
-void OwnedFlows::setActive(FlowRecord &record, bool active)
+void OwnedFlows::setActive(Timestamp now, FlowRecord &record, bool active)
 {
     if (record.active == active) {
         return;
     }
     record.active = active;
     context_.activeFlows += active ? 1 : -1;
+    context_.placement.activeChanged(now, context_.activeFlows);
 }
 
 void OwnedFlows::established(FlowRecord &record)
--- a/src/agent/ownedflows.h
+++ b/src/agent/ownedflows.h
@@ -57,7 +57,7 @@
     void passOn(Timestamp now, wire::Place &&message);
     void sendResult(const wire::Place &place, bool accepted, std::uint64_t number);
     void sendEnd(const FlowTuple &flow, TargetId home, std::uint64_t number);
-    void setActive(FlowRecord &record, bool active);
+    void setActive(Timestamp now, FlowRecord &record, bool active);
     void established(FlowRecord &record);
     void noteClosing(Timestamp now, FlowRecord &record);
     wire::Registration factOf(const FlowTuple &flow, std::uint64_t number, std::uint64_t fingerprint) const;
@@ -66,7 +66,8 @@
     PlaceLog placeLog_;
     SilenceMonitor silence_;
     AdmissionLimits halfOpen_;
-    AgentSettings admission_;
+    /** Requests that may wait, by the priority of the service. */
+    std::uint32_t queueLimit_;
     /** Flow and fingerprint of flows that ended since the last collection. */
     std::vector<std::pair<FlowTuple, std::uint64_t>> endedLately_;
     std::vector<FlowTuple> acceptedForeign_;
--- /dev/null
+++ b/src/tests/apitest.cpp
@@ -0,0 +1,122 @@
+#define BOOST_TEST_MODULE Api
+#include "control/controlserver.h"
+#include "standins/storestandin.h"
+
+#include <cpprest/http_client.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rhubarblane;
+
+namespace
+{
+
+struct ControlServerFixture {
+    ControlServerFixture()
+    {
+        settings.name = "b1";
+        settings.listenAddress = "127.0.0.1:0";
+        hooks.applyConfiguration = [](const Configuration &) {};
+        hooks.dump = [] { return std::string("{}"); };
+        hooks.metrics = [] { return std::string("rhubarblane_up 1\n"); };
+        hooks.targets = [] { return std::string("[]"); };
+        hooks.inForce = [] { return std::vector<BalancerRevision>(); };
+    }
+
+    static web::http::http_response fetch(const ControlServer &server, const std::string &path)
+    {
+        web::http::client::http_client client("http://127.0.0.1:" + std::to_string(server.httpPort()));
+        return client.request(web::http::methods::GET, path).get();
+    }
+
+    static web::http::http_response
+    put(const ControlServer &server, const std::string &path, const std::string &body, const std::string &token = {})
+    {
+        web::http::client::http_client client("http://127.0.0.1:" + std::to_string(server.httpPort()));
+        web::http::http_request request(web::http::methods::PUT);
+        request.set_request_uri(path);
+        request.headers().add("Authorization", "Bearer key-1");
+        if (!token.empty()) {
+            request.headers().add("Write-Token", token);
+        }
+        request.set_body(body, "application/json");
+        return client.request(request).get();
+    }
+
+    void useStore()
+    {
+        BOOST_REQUIRE(!standin.start("127.0.0.1:0"));
+        settings.storeUrl = "http://127.0.0.1:" + std::to_string(standin.port());
+        settings.apiKey = "key-1\n";
+    }
+
+    void setFaults(const std::string &faults) const
+    {
+        web::http::client::http_client client(settings.storeUrl);
+        client.request(web::http::methods::POST, "/standin/faults", web::json::value::parse(faults)).wait();
+    }
+
+    const std::string service = R"({"spec":{"address":"198.51.100.1","port":7000}})";
+    StoreStandin standin;
+    ControlSettings settings;
+    ControlHooks hooks;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ControlServerTest, ControlServerFixture)
+
+// Guards against a server that is started without its listener, or that keeps its port after stop.
+BOOST_AUTO_TEST_CASE(controlServerStartedAndStoppedTwiceAnswersEachTime)
+{
+    ControlServer server(settings, hooks);
+    for (int round = 0; round < 2; ++round) {
+        const std::optional<Error> error = server.start();
+        BOOST_REQUIRE_MESSAGE(!error, (error ? error->message : ""));
+        BOOST_TEST(fetch(server, "/metrics").extract_string(true).get() == "rhubarblane_up 1\n");
+        BOOST_TEST(fetch(server, "/v1/nothing").status_code() == 404);
+        server.stop();
+        BOOST_TEST(server.httpPort() == 0);
+    }
+}
+
+// Guards against an address error that does not name the setting.
+BOOST_AUTO_TEST_CASE(controlServerWithMalformedAddressNamesTheSetting)
+{
+    settings.listenAddress = "127.0.0.1";
+    ControlServer server(settings, hooks);
+    const std::optional<Error> error = server.start();
+    BOOST_REQUIRE(error.has_value());
+    BOOST_TEST(error->field == "listenAddress");
+}
+
+// Guards against a write over HTTP that does not reach the store, and against bodies that exhaust the memory.
+BOOST_AUTO_TEST_CASE(controlServerStoresAWriteAndRefusesAnOversizedOne)
+{
+    useStore();
+    ControlServer server(settings, hooks);
+    BOOST_REQUIRE(!server.start());
+    const web::http::http_response created = put(server, "/v1/services/readings", service);
+    BOOST_TEST(created.status_code() == 200);
+    BOOST_TEST(created.headers().has("ETag"));
+    BOOST_TEST(fetch(server, "/v1/services/readings").status_code() == 200);
+    BOOST_TEST(put(server, "/v1/services/large", std::string(1024 * 1024 + 1, ' ')).status_code() == 413);
+    BOOST_TEST(fetch(server, "/v1/services/large").status_code() == 404);
+}
+
+// Guards against a lost answer that the operator hears as a failure, and against a retry that writes twice.
+BOOST_AUTO_TEST_CASE(controlServerWithLostAnswerReadsTheWriteBack)
+{
+    useStore();
+    ControlServer server(settings, hooks);
+    BOOST_REQUIRE(!server.start());
+    setFaults(R"({"loseAnswers": 100})");
+    const web::http::http_response lost = put(server, "/v1/services/readings", service, "token-1");
+    BOOST_TEST(lost.status_code() == 200);
+    setFaults(R"({"loseAnswers": 0, "away": "refuse"})");
+    BOOST_TEST(put(server, "/v1/services/archive", service).status_code() == 503);
+    setFaults(R"({"away": "no"})");
+    BOOST_TEST(put(server, "/v1/services/readings", service, "token-1").status_code() == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
