Read the configuration through an elected reader and from peers

Every balancer must get an accepted configuration without each of them calling the store. One balancer per region holds a lease and watches the store from the last revision, reads everything after a compaction or a gap, and backs off with jitter. Only the first three balancers by name look at the reader's key. The lease is no protection: ConfigurationCore takes over higher revisions only, so a paused holder does no harm.

Conclusion: three balancers, one without a store, get a write in force in one test over real sockets.

--- /dev/null
+++ b/src/control/configurationreader.cpp
@@ -0,0 +1,186 @@
+#include "control/configurationreader.h"
+
+#include "control/configurationwriter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+constexpr Milliseconds FirstBackoff(100);
+constexpr Milliseconds MaximumBackoff(5000);
+constexpr Milliseconds NoWait(0);
+
+/** Applies changes to a snapshot. False if a revision changes objects without the version key. */
+bool applyChanges(ConfigurationSnapshot &snapshot, const std::vector<StoredChange> &changes)
+{
+    for (const StoredChange &change : changes) {
+        if (change.value) {
+            snapshot.entries[change.key] = {*change.value, change.modified};
+        } else {
+            snapshot.entries.erase(change.key);
+        }
+        if (change.key == ConfigurationVersionKey) {
+            snapshot.revision = change.modified;
+        }
+    }
+    return snapshot.revision == changes.back().modified;
+}
+
+} // namespace
+
+ConfigurationReader::ConfigurationReader(ReaderSettings settings,
+                                         ConfigStore &store,
+                                         ConfigurationCore &core,
+                                         std::function<bool()> isCandidate,
+                                         std::mt19937_64 random)
+    : settings_(std::move(settings))
+    , store_(store)
+    , core_(core)
+    , isCandidate_(std::move(isCandidate))
+    , backoff_(FirstBackoff, MaximumBackoff, random)
+{
+}
+
+std::string ConfigurationReader::readerKey() const
+{
+    return "/rhubarblane/reader/" + settings_.region + "/holder";
+}
+
+Milliseconds ConfigurationReader::step(Timestamp now)
+{
+    if (isReader_) {
+        return read(now);
+    }
+    return isCandidate_() ? compete(now) : backoff_.jitter(settings_.candidateInterval);
+}
+
+Milliseconds ConfigurationReader::failed(const Error &error)
+{
+    if (error.code == ErrorCode::NotFound) {
+        // The lease has expired; somebody else may read by now.
+        isReader_ = false;
+        lease_ = LeaseId();
+    }
+    return backoff_.next();
+}
+
+Milliseconds ConfigurationReader::compete(Timestamp now)
+{
+    const Outcome<StoredRange> holder = store_.range(readerKey());
+    if (!isOk(holder)) {
+        return failed(errorOf(holder));
+    }
+    if (valueOf(holder).values.empty()) {
+        return takeReaderKey(now);
+    }
+    if (valueOf(holder).values.front().value == settings_.identity && lease_ != LeaseId()) {
+        // An earlier attempt took effect although its answer was lost.
+        isReader_ = true;
+        renewed_ = Timestamp(0);
+        needsAll_ = true;
+        return NoWait;
+    }
+    backoff_.reset();
+    return backoff_.jitter(settings_.candidateInterval);
+}
+
+Milliseconds ConfigurationReader::takeReaderKey(Timestamp now)
+{
+    if (lease_ == LeaseId()) {
+        const Outcome<LeaseId> lease = store_.grantLease(settings_.lease);
+        if (!isOk(lease)) {
+            return failed(errorOf(lease));
+        }
+        lease_ = valueOf(lease);
+    }
+    const Outcome<Revision> taken =
+        store_.commit({{{readerKey(), Revision()}}, {{readerKey(), settings_.identity, lease_}}});
+    if (isOk(taken)) {
+        backoff_.reset();
+        isReader_ = true;
+        needsAll_ = true;
+        renewed_ = now;
+        return NoWait;
+    }
+    if (errorOf(taken).code == ErrorCode::Conflict) {
+        // The lease is of no use; it ends by itself.
+        lease_ = LeaseId();
+        return backoff_.jitter(settings_.candidateInterval);
+    }
+    return failed(errorOf(taken));
+}
+
+Milliseconds ConfigurationReader::read(Timestamp now)
+{
+    if (now - renewed_ >= settings_.renewal) {
+        if (const std::optional<Error> error = store_.keepLeaseAlive(lease_)) {
+            return failed(*error);
+        }
+        renewed_ = now;
+    }
+    if (needsAll_) {
+        if (const std::optional<Error> error = readAll()) {
+            return failed(*error);
+        }
+        needsAll_ = false;
+    }
+    const Outcome<bool> complete = readChanges();
+    if (!isOk(complete)) {
+        return failed(errorOf(complete));
+    }
+    backoff_.reset();
+    needsAll_ = !valueOf(complete);
+    return NoWait;
+}
+
+std::optional<Error> ConfigurationReader::readAll()
+{
+    const Outcome<StoredRange> range = store_.range(ConfigurationPrefix);
+    if (!isOk(range)) {
+        return errorOf(range);
+    }
+    watchFrom_ = Revision(valueOf(range).revision.value() + 1);
+    core_.adopt(snapshotOf(valueOf(range)));
+    return std::nullopt;
+}
+
+/** Waits for changes. False if all objects must be read again. */
+Outcome<bool> ConfigurationReader::readChanges()
+{
+    const std::shared_ptr<const KnownConfiguration> known = core_.current();
+    // Own writes and peers can be ahead of the last change that was read.
+    const Revision from = std::max(watchFrom_, Revision(known->snapshot.revision.value() + 1));
+    const Outcome<std::vector<StoredChange>> changes = store_.watch(ConfigurationPrefix, from, settings_.renewal);
+    if (!isOk(changes)) {
+        if (errorOf(changes).code == ErrorCode::NotFound) {
+            return false;
+        }
+        return errorOf(changes);
+    }
+    if (valueOf(changes).empty()) {
+        return true;
+    }
+    ConfigurationSnapshot snapshot = known->snapshot;
+    if (!applyChanges(snapshot, valueOf(changes))) {
+        return false;
+    }
+    watchFrom_ = Revision(snapshot.revision.value() + 1);
+    core_.adopt(std::move(snapshot));
+    return true;
+}
+
+void ConfigurationReader::release()
+{
+    if (isReader_) {
+        store_.revokeLease(lease_);
+    }
+    isReader_ = false;
+    lease_ = LeaseId();
+}
+
+} // namespace rhubarblane
--- a/src/control/controlserver.cpp
+++ b/src/control/controlserver.cpp
@@ -1,5 +1,9 @@
 #include "control/controlserver.h"
 
+#include "control/configurationfetcher.h"
+#include "control/configurationreader.h"
+#include "control/peerclient.h"
+#include "control/peerserver.h"
 #include "control/resourceapi.h"
 #include "store/etcdstore.h"
 #include "wire/httpserver.h"
@@ -9,7 +13,9 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <condition_variable>
 #include <cstdio>
+#include <mutex>
 #include <thread>
 #include <utility>
 
@@ -23,6 +29,9 @@
 
 /** Limit of each store call. The store answers in milliseconds when it is well. */
 constexpr Milliseconds StoreTimeout(2000);
+constexpr Milliseconds PeerTimeout(2000);
+/** Balancers of a region that look at the reader's key. More would only add store calls. */
+constexpr std::size_t ReaderCandidates = 3;
 
 /** Unique without a seed: a token that an earlier process used would make a new write look done. */
 std::string makeToken()
@@ -83,9 +92,90 @@
                   core_,
                   [](Milliseconds wait) { std::this_thread::sleep_for(std::chrono::milliseconds(wait.count())); })
         , api_(settings_, hooks_, core_, writer_, makeToken)
+        , peerServer_(core_)
     {
     }
 
+    std::optional<Error> start()
+    {
+        if (!settings_.peerListenAddress.empty()) {
+            if (std::optional<Error> error = peerServer_.start(settings_.peerListenAddress)) {
+                return error;
+            }
+        }
+        std::optional<Error> error =
+            http_.start(settings_.listenAddress, [this](const http_request &request) { handle(request); });
+        if (error) {
+            peerServer_.stop();
+            return error;
+        }
+        stopping_ = false;
+        threads_.emplace_back([this] { fetch(); });
+        if (store_) {
+            store_->allowWatches();
+            threads_.emplace_back([this] { read(); });
+        }
+        return std::nullopt;
+    }
+
+    void stop()
+    {
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            stopping_ = true;
+        }
+        wake_.notify_all();
+        if (store_) {
+            store_->cancelWatches();
+        }
+        for (std::thread &thread : threads_) {
+            thread.join();
+        }
+        threads_.clear();
+        peerServer_.stop();
+        http_.stop();
+    }
+
+    /** Returns true when the server stops, at the latest after the wait. */
+    bool isStoppingAfter(Milliseconds wait)
+    {
+        std::unique_lock<std::mutex> lock(mutex_);
+        return wake_.wait_for(lock, std::chrono::milliseconds(wait.count()), [this] { return stopping_; });
+    }
+
+    void fetch()
+    {
+        ConfigurationFetcher fetcher(
+            settings_.name,
+            core_,
+            hooks_.inForce,
+            [](const PeerAddress &peer, Revision known) { return fetchConfiguration(peer, known, PeerTimeout); },
+            std::mt19937_64(settings_.seed));
+        while (!isStoppingAfter(fetcher.step())) { }
+    }
+
+    void read()
+    {
+        ReaderSettings settings;
+        settings.identity = settings_.name + " " + makeToken();
+        settings.region = settings_.region;
+        ConfigurationReader reader(
+            settings, *store_, core_, [this] { return isReaderCandidate(); }, std::mt19937_64(settings_.seed + 1));
+        const SystemClock clock;
+        while (!isStoppingAfter(reader.step(clock.now()))) { }
+        reader.release();
+    }
+
+    /** The first balancers of the region by name are candidates, as far as this balancer knows. */
+    bool isReaderCandidate() const
+    {
+        const std::vector<BalancerRevision> balancers = hooks_.inForce();
+        const auto before = std::count_if(balancers.begin(), balancers.end(), [this](const BalancerRevision &other) {
+            return other.region == settings_.region && other.name < settings_.name;
+        });
+        return static_cast<std::size_t>(before) < ReaderCandidates;
+    }
+
     void handle(const http_request &request)
     {
         if (request.headers().content_length() > ResourceApi::MaximumBody) {
@@ -123,7 +213,12 @@
     std::unique_ptr<EtcdStore> store_;
     ConfigurationWriter writer_;
     ResourceApi api_;
+    PeerServer peerServer_;
     HttpServer http_;
+    std::vector<std::thread> threads_;
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    bool stopping_ = false;
 };
 
 ControlServer::ControlServer(ControlSettings settings, ControlHooks hooks)
@@ -138,12 +233,12 @@
 
 std::optional<Error> ControlServer::start()
 {
-    return d_->http_.start(d_->settings_.listenAddress, [this](const http_request &request) { d_->handle(request); });
+    return d_->start();
 }
 
 void ControlServer::stop()
 {
-    d_->http_.stop();
+    d_->stop();
 }
 
 std::uint16_t ControlServer::httpPort() const
@@ -153,7 +248,7 @@
 
 std::uint16_t ControlServer::peerPort() const
 {
-    return 0;
+    return d_->peerServer_.port();
 }
 
 } // namespace rhubarblane
--- a/src/control/controlsettings.h
+++ b/src/control/controlsettings.h
@@ -37,7 +37,8 @@
     Revision revision;
     std::uint64_t digest = 0;
     /** Address of the balancer's gRPC service `Peer`; address 0 if unknown. */
-    PeerAddress peer;
+    PeerAddress peer = {};
+    std::string region = {};
 };
 
 /** How the control server reaches the rest of its process. All are called from control threads; none may block long. */
--- a/src/store/etcdstore.cpp
+++ b/src/store/etcdstore.cpp
@@ -249,6 +249,12 @@
     }
 }
 
+void EtcdStore::allowWatches()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    watchesCancelled_ = false;
+}
+
 Outcome<LeaseId> EtcdStore::grantLease(Milliseconds duration)
 {
     value request = value::object();
--- a/src/store/etcdstore.h
+++ b/src/store/etcdstore.h
@@ -27,6 +27,8 @@
     Outcome<Revision> commit(const StoreTransaction &transaction) override;
     Outcome<std::vector<StoredChange>> watch(const std::string &prefix, Revision from, Milliseconds timeout) override;
     void cancelWatches() override;
+    /** Allows watches again after cancelWatches(). */
+    void allowWatches();
     Outcome<LeaseId> grantLease(Milliseconds duration) override;
     std::optional<Error> keepLeaseAlive(LeaseId lease) override;
     std::optional<Error> revokeLease(LeaseId lease) override;
--- a/src/tests/apitest.cpp
+++ b/src/tests/apitest.cpp
@@ -6,6 +6,12 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+
 using namespace rhubarblane;
 
 namespace
@@ -119,4 +125,57 @@
     BOOST_TEST(put(server, "/v1/services/readings", service, "token-1").status_code() == 200);
 }
 
+// Guards against balancers that do not learn a change from the store (b2) or, without a store, from a peer (b3).
+BOOST_AUTO_TEST_CASE(controlServersPutAWriteInForceThroughStoreAndPeers)
+{
+    useStore();
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::map<std::string, BalancerRevision> gossip;
+    const auto makeServer = [&](const std::string &name) {
+        settings.name = name;
+        settings.peerListenAddress = "127.0.0.1:0";
+        hooks.applyConfiguration = [&, name](const Configuration &configuration) {
+            const std::lock_guard<std::mutex> lock(mutex);
+            gossip[name].revision = configuration.revision;
+            gossip[name].digest = configuration.digest;
+            changed.notify_all();
+        };
+        hooks.inForce = [&] {
+            const std::lock_guard<std::mutex> lock(mutex);
+            std::vector<BalancerRevision> balancers;
+            balancers.reserve(gossip.size());
+            for (const auto &entry : gossip) {
+                balancers.push_back(entry.second);
+            }
+            return balancers;
+        };
+        auto server = std::make_unique<ControlServer>(settings, hooks);
+        BOOST_REQUIRE(!server->start());
+        const std::lock_guard<std::mutex> lock(mutex);
+        gossip[name].name = name;
+        gossip[name].peer = {0x7f000001, server->peerPort()};
+        return server;
+    };
+    const auto b1 = makeServer("b1");
+    const auto b2 = makeServer("b2");
+    settings.storeUrl.clear();
+    const auto b3 = makeServer("b3");
+    BOOST_TEST(put(*b1, "/v1/services/readings", service).status_code() == 200);
+    std::unique_lock<std::mutex> lock(mutex);
+    const bool everywhere = changed.wait_for(lock, std::chrono::seconds(60), [&] {
+        return std::all_of(gossip.begin(), gossip.end(), [&](const auto &entry) {
+            return entry.second.revision != Revision() && entry.second.digest == gossip["b1"].digest;
+        });
+    });
+    lock.unlock();
+    BOOST_TEST(everywhere);
+    BOOST_TEST(fetch(*b3, "/v1/services/readings").status_code() == 200);
+    BOOST_TEST(put(*b3, "/v1/services/archive", service).status_code() == 503);
+    // The hooks use the local variables above.
+    b1->stop();
+    b2->stop();
+    b3->stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/tests/configurationreadertest.cpp
@@ -0,0 +1,186 @@
+#define BOOST_TEST_MODULE ConfigurationReader
+#include "control/configurationreader.h"
+#include "control/configurationwriter.h"
+#include "tests/fakeconfigstore.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rhubarblane;
+
+namespace
+{
+
+struct ReaderFixture {
+    FakeConfigStore store;
+    bool candidate = true;
+    ConfigurationCore core1 {{}};
+    ConfigurationCore core2 {{}};
+    ConfigurationReader reader1 = reader("one", core1);
+    ConfigurationReader reader2 = reader("two", core2);
+    int drains = 0;
+
+    ConfigurationReader reader(const std::string &identity, ConfigurationCore &core)
+    {
+        ReaderSettings settings;
+        settings.identity = identity;
+        return {settings, store, core, [this] { return candidate; }, std::mt19937_64(3)};
+    }
+
+    void advance(Milliseconds span)
+    {
+        store.now = store.now + span;
+        store.table.expireLeases(store.now);
+    }
+
+    /** A write of an operator through some other balancer; returns its revision. */
+    Revision write()
+    {
+        const std::string key = configurationKey(ResourceKind::Drain, "t" + std::to_string(++drains));
+        return valueOf(store.table.commit(
+            {{}, {{ConfigurationVersionKey, "{}", {}}, {key, R"({"generation":1,"spec":{}})", {}}}}));
+    }
+
+    Milliseconds step(ConfigurationReader &reader) const
+    {
+        return reader.step(store.now);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ConfigurationReaderTest, ReaderFixture)
+
+// Guards against two readers at a time, and against no reader after the holder's death.
+BOOST_AUTO_TEST_CASE(configurationReaderIsOneAndIsReplacedAfterItsLease)
+{
+    const Revision first = write();
+    step(reader1);
+    step(reader1);
+    step(reader2);
+    BOOST_TEST(reader1.isReader());
+    BOOST_TEST(!reader2.isReader());
+    BOOST_TEST((core1.current()->snapshot.revision == first));
+    advance(Milliseconds(5000));
+    step(reader2);
+    BOOST_TEST(reader2.isReader());
+}
+
+// Guards against a former holder that wakes up and puts an old configuration in force, or goes on as the reader.
+BOOST_AUTO_TEST_CASE(configurationReaderPausedBeyondItsLeaseDoesNoHarm)
+{
+    write();
+    step(reader1);
+    step(reader1);
+    // The pause lies between the store's answer and its use.
+    const ConfigurationSnapshot old = core1.current()->snapshot;
+    advance(Milliseconds(60000));
+    const Revision second = write();
+    step(reader2);
+    step(reader2);
+    BOOST_TEST((core2.current()->snapshot.revision == second));
+    BOOST_TEST(!core2.adopt(old));
+    step(reader1);
+    BOOST_TEST(!reader1.isReader());
+    step(reader1);
+    BOOST_TEST(!reader1.isReader());
+    BOOST_TEST(reader2.isReader());
+}
+
+// Guards against a reader that misses changes between two watches or after a compaction.
+BOOST_AUTO_TEST_CASE(configurationReaderResumesAfterCompaction)
+{
+    write();
+    step(reader1);
+    step(reader1);
+    const int ranges = store.ranges;
+    const Revision second = write();
+    step(reader1);
+    BOOST_TEST((core1.current()->snapshot.revision == second));
+    BOOST_TEST(store.ranges == ranges);
+    const Revision third = write();
+    store.table.compact();
+    step(reader1);
+    step(reader1);
+    BOOST_TEST((core1.current()->snapshot.revision == third));
+    BOOST_TEST(core1.current()->configuration.drains.size() == 3U);
+    BOOST_TEST(store.ranges == ranges + 1);
+}
+
+// Guards against a change that is applied to the wrong base when the configuration became newer during the watch.
+BOOST_AUTO_TEST_CASE(configurationReaderOvertakenByAnOwnWriteKeepsAllObjects)
+{
+    write();
+    step(reader1);
+    step(reader1);
+    store.onWatch = [this] {
+        write();
+        core1.adopt(snapshotOf(valueOf(store.range(ConfigurationPrefix))));
+    };
+    step(reader1);
+    const Revision last = write();
+    step(reader1);
+    BOOST_TEST((core1.current()->snapshot.revision == last));
+    BOOST_TEST(core1.current()->configuration.drains.size() == 3U);
+}
+
+// Guards against a change made without the version key, which would never come into force or stop the reader.
+BOOST_AUTO_TEST_CASE(configurationReaderAfterForeignChangeFollowsTheNextWrite)
+{
+    write();
+    step(reader1);
+    step(reader1);
+    const std::string foreign = configurationKey(ResourceKind::Drain, "foreign");
+    store.table.commit({{}, {{foreign, R"({"generation":1,"spec":{}})", {}}}});
+    step(reader1);
+    step(reader1);
+    const Revision last = write();
+    step(reader1);
+    BOOST_TEST((core1.current()->snapshot.revision == last));
+}
+
+// Guards against retries without a pause while the store is away, and against a reader that does not come back.
+BOOST_AUTO_TEST_CASE(configurationReaderWithStoreAwayBacksOffAndRecovers)
+{
+    write();
+    step(reader1);
+    step(reader1);
+    store.available = false;
+    Milliseconds first;
+    Milliseconds last;
+    for (int i = 0; i < 10; ++i) {
+        last = step(reader1);
+        first = i == 0 ? last : first;
+        BOOST_TEST((last >= Milliseconds(50) && last <= Milliseconds(5000)));
+    }
+    BOOST_TEST((last > first * 4));
+    advance(Milliseconds(60000));
+    store.available = true;
+    const Revision later = write();
+    for (int i = 0; i < 4; ++i) {
+        step(reader1);
+    }
+    BOOST_TEST(reader1.isReader());
+    BOOST_TEST((core1.current()->snapshot.revision == later));
+}
+
+// Guards against a lease that blocks every candidate because its holder does not know that it was elected.
+BOOST_AUTO_TEST_CASE(configurationReaderWithLostElectionAnswerRecognizesItsKey)
+{
+    write();
+    advance(Milliseconds(10000));
+    store.loseAnswers = 1;
+    step(reader1);
+    BOOST_TEST(!reader1.isReader());
+    step(reader1);
+    BOOST_TEST(reader1.isReader());
+}
+
+// Guards against a store call by each of many balancers.
+BOOST_AUTO_TEST_CASE(configurationReaderThatIsNoCandidateMakesNoCalls)
+{
+    candidate = false;
+    step(reader1);
+    BOOST_TEST(store.ranges + store.commits == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
