Add rhubarblanectl

Operators need one command line that is safe to run in scripts: get, list, apply, delete, watch, status and dump, with exit codes 0 done, 1 refused, 2 usage and 3 unavailable. Reads try the next server of a list; writes do so only when no connection was made or the answer says 'notStored'.

HttpServer documents that cpprestsdk keeps a stopped listener's port open, with 404 answers, while the process has other listeners; the first form of the test took such a port for an absent server and failed.

--- /dev/null
+++ b/src/ctl/ctlclient.cpp
@@ -0,0 +1,95 @@
+#include "ctl/ctlclient.h"
+
+#include <cpprest/http_client.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+/** No connection was made, so the server has not seen the request. */
+bool isConnectError(const web::http::http_exception &exception)
+{
+    return exception.error_code() == std::errc::host_unreachable
+        || exception.error_code() == std::errc::connection_refused;
+}
+
+} // namespace
+
+std::string errorCodeOf(const CtlAnswer &answer)
+{
+    std::error_code failure;
+    const web::json::value json = web::json::value::parse(answer.body, failure);
+    if (failure || !json.is_object() || !json.has_object_field("error") || !json.at("error").has_string_field("code")) {
+        return {};
+    }
+    return json.at("error").at("code").as_string();
+}
+
+CtlClient::CtlClient(std::vector<std::string> servers, std::string apiKey, Milliseconds timeout)
+    : servers_(std::move(servers))
+    , apiKey_(std::move(apiKey))
+    , deadline_(clock_.now() + timeout)
+{
+}
+
+Milliseconds CtlClient::remaining() const
+{
+    return std::max(Milliseconds(0), deadline_ - clock_.now());
+}
+
+Outcome<CtlAnswer> CtlClient::send(const CtlRequest &request) const
+{
+    Outcome<CtlAnswer> last = Error {ErrorCode::Unavailable, "--server", "no server answered"};
+    for (const std::string &server : servers_) {
+        last = sendTo(server, request);
+        const bool away = !isOk(last) && errorOf(last).code == ErrorCode::Unavailable;
+        const bool notDone = isOk(last) && valueOf(last).status == 503 && errorCodeOf(valueOf(last)) == "notStored";
+        if (!away && !notDone) {
+            return last;
+        }
+    }
+    return last;
+}
+
+Outcome<CtlAnswer> CtlClient::sendTo(const std::string &server, const CtlRequest &request) const
+{
+    const Milliseconds left = remaining();
+    if (left == Milliseconds(0)) {
+        return Error {ErrorCode::Unavailable, "--timeout-ms", "the time is over"};
+    }
+    const ErrorCode ifUncertain = request.method == "GET" ? ErrorCode::Unavailable : ErrorCode::Unknown;
+    try {
+        web::http::client::http_client_config config;
+        config.set_timeout(std::chrono::milliseconds(left.count()));
+        // One connection for each request: cpprestsdk resends a request by itself when a kept one was closed.
+        web::http::client::http_client client("http://" + server, config);
+        web::http::http_request message(request.method);
+        message.set_request_uri(request.path);
+        message.headers().add("Connection", "close");
+        for (const auto &[name, value] : request.headers) {
+            message.headers().add(name, value);
+        }
+        if (!apiKey_.empty() && request.method != "GET") {
+            message.headers().add("Authorization", "Bearer " + apiKey_);
+        }
+        if (!request.body.empty()) {
+            message.set_body(request.body, "application/json");
+        }
+        const web::http::http_response response = client.request(message).get();
+        return CtlAnswer {static_cast<int>(response.status_code()), response.extract_utf8string(true).get()};
+    } catch (const web::http::http_exception &exception) {
+        return Error {isConnectError(exception) ? ErrorCode::Unavailable : ifUncertain,
+                      "--server",
+                      server + ": " + exception.what()};
+    } catch (const std::exception &exception) {
+        return Error {ifUncertain, "--server", server + ": " + exception.what()};
+    }
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/ctl/ctlcommand.h
@@ -0,0 +1,65 @@
+#ifndef RHUBARBLANE_CTL_CTLCOMMAND_H
+#define RHUBARBLANE_CTL_CTLCOMMAND_H
+
+#include "ctl/ctlclient.h"
+#include "ctl/ctlsettings.h"
+
+#include <functional>
+#include <iosfwd>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rhubarblane
+{
+
+/** Exit codes of rhubarblanectl. */
+enum class CtlExit {
+    Done = 0,
+    Refused = 1,
+    Usage = 2,
+    Unavailable = 3,
+};
+
+/** Carries out one command of rhubarblanectl. */
+class CtlCommand
+{
+public:
+    CtlCommand(CtlSettings settings, std::string apiKey, std::ostream &out, std::ostream &err);
+
+    CtlExit run();
+
+private:
+    struct Resource {
+        std::string kind;
+        std::string name;
+        std::string version;
+        std::string body;
+    };
+
+    CtlExit print(const std::string &path);
+    CtlExit apply();
+    CtlExit applyOne(const Resource &resource);
+    CtlExit erase();
+    CtlExit watch();
+    CtlExit write(CtlRequest request);
+
+    /** Sends a read; prints the error and sets the exit code unless the answer is 200. */
+    std::optional<web::json::value> read(const std::string &path, CtlExit &exit);
+    Outcome<std::vector<Resource>> readFile() const;
+    CtlExit fail(const Error &error);
+    CtlExit report(const CtlAnswer &answer);
+
+    CtlSettings settings_;
+    CtlClient client_;
+    std::ostream &out_;
+    std::ostream &err_;
+};
+
+/** The whole program: reads settings and key file, and runs the command. */
+CtlExit
+runCtl(const std::vector<std::string> &arguments, const Environment &environment, std::ostream &out, std::ostream &err);
+
+} // namespace rhubarblane
+
+#endif
--- a/src/wire/httpserver.h
+++ b/src/wire/httpserver.h
@@ -23,7 +23,10 @@
     /** The handler runs on pool threads, several at a time. */
     std::optional<Error> start(const std::string &address, const Handler &handler);
 
-    /** Waits for running handlers. */
+    /**
+     * Waits for running handlers. While the process has other servers the library keeps the port open and answers 404
+     * there.
+     */
     void stop();
 
     /** 0 when stopped. */
