Decode only the changed objects of a configuration

Each change decoded all objects again. The index hashes its conditions instead of building strings. A key outside of the prefix is an error of that object; before, it ended the process.

With behaviour taken out, the comparison with whole decoding fails each time: changed entries, rebuilding the index, removal of an object whose new value is bad.

--- a/src/control/configurationcore.cpp
+++ b/src/control/configurationcore.cpp
@@ -28,7 +28,7 @@
     auto known = std::make_shared<KnownConfiguration>();
     known->snapshot = std::move(snapshot);
     std::vector<std::string> errors;
-    known->configuration = known->snapshot.decode(errors);
+    known->configuration = known->snapshot.decodeChanges(current_->snapshot, current_->configuration, errors);
     recordRemovals(current_->snapshot, known->snapshot);
     current_ = known;
     if (failed_) {
--- a/src/model/configurationindex.cpp
+++ b/src/model/configurationindex.cpp
@@ -1,46 +1,49 @@
 #include "model/configurationindex.h"
 
+#include "base/hash.h"
+
+#include <algorithm>
+
 namespace rhubarblane
 {
 
 namespace
 {
 
-// The first byte keeps conditions of different kinds apart, the zero byte ends the label's key.
-std::string labelCondition(const std::string &key, const std::string &value)
-{
-    std::string condition = "l" + key;
-    condition.push_back('\0');
-    return condition + value;
-}
+// Conditions are hashed with their kind. Rules that share a hash by chance are told apart by matches().
+enum class ConditionKind : std::uint64_t {
+    Any,
+    Label,
+    Client,
+    AvailabilityZone,
+};
 
-std::string clientCondition(const std::string &client)
+std::uint64_t conditionOf(ConditionKind kind, const std::string &value)
 {
-    return "c" + client;
+    return hashPair(static_cast<std::uint64_t>(kind), hashBytes(value));
 }
 
-std::string availabilityZoneCondition(const std::string &availabilityZone)
+std::uint64_t labelCondition(const std::string &key, const std::string &value)
 {
-    return "z" + availabilityZone;
+    return hashPair(hashBytes(key), conditionOf(ConditionKind::Label, value));
 }
 
-std::vector<std::string> conditionsOf(const RuleSpec &rule)
+void readConditions(const RuleSpec &rule, std::vector<std::uint64_t> &conditions)
 {
-    std::vector<std::string> conditions;
+    conditions.clear();
     for (const auto &[key, value] : rule.labels) {
         conditions.push_back(labelCondition(key, value));
     }
     if (!rule.client.empty()) {
-        conditions.push_back(clientCondition(rule.client));
+        conditions.push_back(conditionOf(ConditionKind::Client, rule.client));
     }
     if (!rule.availabilityZone.empty()) {
-        conditions.push_back(availabilityZoneCondition(rule.availabilityZone));
+        conditions.push_back(conditionOf(ConditionKind::AvailabilityZone, rule.availabilityZone));
     }
     if (conditions.empty()) {
         // A rule without conditions matches every target.
-        conditions.emplace_back();
+        conditions.push_back(conditionOf(ConditionKind::Any, {}));
     }
-    return conditions;
 }
 
 bool hasLabel(const wire::TargetEntry &target, const std::string &key, const std::string &value)
@@ -73,28 +76,33 @@
 
 ConfigurationIndex::ConfigurationIndex(const Configuration &configuration)
 {
+    serviceNames_.reserve(configuration.services.size());
     for (const auto &[name, spec] : configuration.services) {
         serviceNames_.emplace(serviceIdOf(name), name);
     }
-    std::unordered_map<std::string, std::size_t> frequency;
+    rules_.reserve(configuration.rules.size());
+    std::unordered_map<std::uint64_t, std::size_t> frequency;
+    frequency.reserve(configuration.rules.size());
+    std::vector<std::uint64_t> conditions;
     for (const auto &[name, rule] : configuration.rules) {
-        if (configuration.services.count(rule.service) == 0) {
+        const ServiceId service = serviceIdOf(rule.service);
+        if (serviceNames_.count(service) == 0) {
             continue;
         }
-        rules_.push_back({rule, serviceIdOf(rule.service)});
-        for (const std::string &condition : conditionsOf(rule)) {
+        rules_.push_back({rule, service});
+        readConditions(rule, conditions);
+        for (const std::uint64_t condition : conditions) {
             ++frequency[condition];
         }
     }
+    rulesByCondition_.reserve(rules_.size());
     for (std::size_t i = 0; i < rules_.size(); ++i) {
-        const std::vector<std::string> conditions = conditionsOf(rules_[i].spec);
-        const std::string *rarest = &conditions.front();
-        for (const std::string &condition : conditions) {
-            if (frequency[condition] < frequency[*rarest]) {
-                rarest = &condition;
-            }
-        }
-        rulesByCondition_[*rarest].push_back(i);
+        readConditions(rules_[i].spec, conditions);
+        const std::uint64_t rarest =
+            *std::min_element(conditions.begin(), conditions.end(), [&](std::uint64_t a, std::uint64_t b) {
+                return frequency[a] < frequency[b];
+            });
+        rulesByCondition_[rarest].push_back(i);
     }
 }
 
@@ -104,7 +112,7 @@
     return found == serviceNames_.end() ? nullptr : &found->second;
 }
 
-const ConfigurationIndex::Rule *ConfigurationIndex::firstMatch(const std::string &condition,
+const ConfigurationIndex::Rule *ConfigurationIndex::firstMatch(std::uint64_t condition,
                                                                const wire::TargetEntry &target) const
 {
     const auto found = rulesByCondition_.find(condition);
@@ -121,19 +129,19 @@
 ServiceId ConfigurationIndex::serviceOf(const wire::TargetEntry &target) const
 {
     const Rule *best = nullptr;
-    const auto consider = [&](const std::string &condition) {
+    const auto consider = [&](std::uint64_t condition) {
         const Rule *rule = firstMatch(condition, target);
         // rules_ is in the order of names.
         if (rule != nullptr && (best == nullptr || rule < best)) {
             best = rule;
         }
     };
-    consider({});
+    consider(conditionOf(ConditionKind::Any, {}));
     for (const wire::Label &label : target.labels()) {
         consider(labelCondition(label.key(), label.value()));
     }
-    consider(clientCondition(target.client()));
-    consider(availabilityZoneCondition(target.availability_zone()));
+    consider(conditionOf(ConditionKind::Client, target.client()));
+    consider(conditionOf(ConditionKind::AvailabilityZone, target.availability_zone()));
     return best == nullptr ? ServiceId() : best->service;
 }
 
--- a/src/model/configurationindex.h
+++ b/src/model/configurationindex.h
@@ -3,6 +3,7 @@
 
 #include "model/configuration.h"
 
+#include <cstdint>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -28,12 +29,12 @@
         ServiceId service;
     };
 
-    const Rule *firstMatch(const std::string &condition, const wire::TargetEntry &target) const;
+    const Rule *firstMatch(std::uint64_t condition, const wire::TargetEntry &target) const;
 
     std::unordered_map<ServiceId, std::string> serviceNames_;
     std::vector<Rule> rules_;
-    /** Positions in rules_, in ascending order, by the rule's condition that the fewest rules have. */
-    std::unordered_map<std::string, std::vector<std::size_t>> rulesByCondition_;
+    /** Positions in rules_, in ascending order, by the hash of the rule's condition that the fewest rules have. */
+    std::unordered_map<std::uint64_t, std::vector<std::size_t>> rulesByCondition_;
 };
 
 /** True if the target meets every condition of the rule's selector. */
--- a/src/model/configurationsnapshot.cpp
+++ b/src/model/configurationsnapshot.cpp
@@ -13,14 +13,23 @@
 namespace
 {
 
-/** Decodes one object into its map; returns the error text, empty if there is none. */
+/** Decodes one object into its map, or removes it if there is no entry; returns the error text, empty if none. */
 template<typename Spec>
 std::string decodeInto(std::map<std::string, Spec> &objects,
                        const std::string &name,
-                       const web::json::value &spec,
+                       const ConfigurationEntry *entry,
                        Outcome<Spec> (*parse)(const std::string &, const web::json::value &))
 {
-    Outcome<Spec> parsed = parse(name, spec);
+    // An object that cannot be decoded is left out, also if its earlier value was valid.
+    objects.erase(name);
+    if (entry == nullptr) {
+        return {};
+    }
+    const Outcome<StoredResource> stored = parseStoredResource(entry->value);
+    if (!isOk(stored)) {
+        return errorOf(stored).message;
+    }
+    Outcome<Spec> parsed = parse(name, valueOf(stored).spec);
     if (!isOk(parsed)) {
         return errorOf(parsed).field + " " + errorOf(parsed).message;
     }
@@ -28,6 +37,37 @@
     return {};
 }
 
+std::string decodeEntry(Configuration &configuration, const std::string &key, const ConfigurationEntry *entry)
+{
+    if (key == ConfigurationVersionKey) {
+        return {};
+    }
+    if (key.compare(0, ConfigurationPrefix.size(), ConfigurationPrefix) != 0) {
+        return "is outside of " + ConfigurationPrefix;
+    }
+    const std::string path = key.substr(ConfigurationPrefix.size());
+    const std::size_t slash = path.find('/');
+    const std::string kind = path.substr(0, slash);
+    const std::string name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
+    if (kind == nameOf(ResourceKind::Service)) {
+        return decodeInto(configuration.services, name, entry, parseService);
+    }
+    if (kind == nameOf(ResourceKind::Rule)) {
+        return decodeInto(configuration.rules, name, entry, parseRule);
+    }
+    if (kind == nameOf(ResourceKind::Drain)) {
+        return decodeInto(configuration.drains, name, entry, parseDrain);
+    }
+    return "unknown kind";
+}
+
+/** True for the objects that ConfigurationIndex knows. */
+bool isIndexed(const std::string &key)
+{
+    const std::string drains = configurationKey(ResourceKind::Drain, {});
+    return key != ConfigurationVersionKey && key.compare(0, drains.size(), drains) != 0;
+}
+
 } // namespace
 
 std::string nameOf(ResourceKind kind)
@@ -61,36 +101,46 @@
 
 Configuration ConfigurationSnapshot::decode(std::vector<std::string> &errors) const
 {
-    Configuration configuration;
+    return decodeChanges({}, {}, errors);
+}
+
+Configuration ConfigurationSnapshot::decodeChanges(const ConfigurationSnapshot &earlier,
+                                                   const Configuration &base,
+                                                   std::vector<std::string> &errors) const
+{
+    Configuration configuration = base;
     configuration.revision = revision;
     configuration.digest = digest();
-    for (const auto &[key, entry] : entries) {
-        if (key == ConfigurationVersionKey) {
-            continue;
-        }
-        const std::string path = key.substr(ConfigurationPrefix.size());
-        const std::size_t slash = path.find('/');
-        const std::string kind = path.substr(0, slash);
-        const std::string name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
-        const Outcome<StoredResource> stored = parseStoredResource(entry.value);
-        std::string error;
-        if (!isOk(stored)) {
-            error = errorOf(stored).message;
-        } else if (kind == nameOf(ResourceKind::Service)) {
-            error = decodeInto(configuration.services, name, valueOf(stored).spec, parseService);
-        } else if (kind == nameOf(ResourceKind::Rule)) {
-            error = decodeInto(configuration.rules, name, valueOf(stored).spec, parseRule);
-        } else if (kind == nameOf(ResourceKind::Drain)) {
-            error = decodeInto(configuration.drains, name, valueOf(stored).spec, parseDrain);
-        } else {
-            error = "unknown kind";
-        }
+    bool indexIsCurrent = base.index != nullptr;
+    const auto change = [&](const std::string &key, const ConfigurationEntry *entry) {
+        indexIsCurrent = indexIsCurrent && !isIndexed(key);
+        const std::string error = decodeEntry(configuration, key, entry);
         if (!error.empty()) {
             errors.push_back(key);
             errors.back().append(": ").append(error);
         }
+    };
+    // Both maps are in the order of their keys.
+    auto old = earlier.entries.begin();
+    for (const auto &[key, entry] : entries) {
+        for (; old != earlier.entries.end() && old->first < key; ++old) {
+            change(old->first, nullptr);
+        }
+        if (old != earlier.entries.end() && old->first == key) {
+            if (!(old->second == entry)) {
+                change(key, &entry);
+            }
+            ++old;
+        } else {
+            change(key, &entry);
+        }
+    }
+    for (; old != earlier.entries.end(); ++old) {
+        change(old->first, nullptr);
+    }
+    if (!indexIsCurrent) {
+        configuration.buildIndex();
     }
-    configuration.buildIndex();
     return configuration;
 }
 
--- a/src/model/configurationsnapshot.h
+++ b/src/model/configurationsnapshot.h
@@ -55,6 +55,11 @@
      * are added to `errors`.
      */
     Configuration decode(std::vector<std::string> &errors) const;
+
+    /** The same, but decodes only what differs from an earlier snapshot, of which `base` is the decoded form. */
+    Configuration decodeChanges(const ConfigurationSnapshot &earlier,
+                                const Configuration &base,
+                                std::vector<std::string> &errors) const;
 };
 
 } // namespace rhubarblane
--- a/src/tests/configurationtest.cpp
+++ b/src/tests/configurationtest.cpp
@@ -125,12 +125,54 @@
     BOOST_TEST(other.digest() != digest);
 
     std::vector<std::string> errors;
+    other.entries["/short"] = {"x", Revision(3)};
     const Configuration decoded = other.decode(errors);
     BOOST_TEST(decoded.drains.size() == 1U);
-    BOOST_TEST(errors.size() == 1U);
+    BOOST_TEST(errors.size() == 2U);
     BOOST_TEST((decoded.drains.at("t1").deadline == Milliseconds(5)));
 }
 
+// Guards against a change, removal or bad value that is missed when only the differences are decoded.
+BOOST_AUTO_TEST_CASE(configurationSnapshotDecodesRandomChangesAsTheWhole)
+{
+    std::mt19937 random(5);
+    const std::vector<std::pair<ResourceKind, std::string>> values = {
+        {ResourceKind::Service, R"({"generation":1,"spec":{"address":"198.51.100.1","port":1}})"},
+        {ResourceKind::Rule, R"({"generation":1,"spec":{"service":"n1","selector":{"client":"c"}}})"},
+        {ResourceKind::Rule, R"({"generation":1,"spec":{"service":"n2","selector":{"client":"c"}}})"},
+        {ResourceKind::Drain, R"({"generation":1,"spec":{"deadlineMs":5}})"},
+        {ResourceKind::Service, "bad"},
+        {ResourceKind::Drain, R"({"generation":1,"spec":{"deadlineMs":-1}})"},
+    };
+    wire::TargetEntry target;
+    target.set_client("c");
+    ConfigurationSnapshot earlier;
+    Configuration decoded;
+    std::vector<std::string> errors;
+    for (std::uint64_t revision = 1; revision < 1500; ++revision) {
+        ConfigurationSnapshot next = earlier;
+        next.revision = Revision(revision);
+        const auto &[kind, value] = values[random() % values.size()];
+        const std::string key = configurationKey(kind, "n" + std::to_string(random() % 4));
+        if (random() % 3 == 0) {
+            next.entries.erase(key);
+        } else {
+            next.entries[key] = {value, next.revision};
+        }
+        decoded = next.decodeChanges(earlier, decoded, errors);
+        earlier = next;
+        const Configuration whole = next.decode(errors);
+        BOOST_REQUIRE(decoded.digest == whole.digest);
+        BOOST_REQUIRE(decoded.services.size() == whole.services.size());
+        BOOST_REQUIRE(decoded.drains.size() == whole.drains.size());
+        BOOST_REQUIRE(decoded.rules.size() == whole.rules.size());
+        for (const auto &[name, rule] : whole.rules) {
+            BOOST_REQUIRE(decoded.rules.at(name).service == rule.service);
+        }
+        BOOST_REQUIRE((decoded.serviceOf(target) == whole.serviceOf(target)));
+    }
+}
+
 // Guards against a list of write tokens that grows without bound or forgets the newest one.
 BOOST_AUTO_TEST_CASE(recordedWritesBeyondLimitForgetTheOldest)
 {
