Decide packets from compact tables in BalancerCore

Hash nodes for services, targets and flows cost a cache miss each. The flow cache is now a bounded table of buckets of eight, the services and the live incarnations lie in flat tables, and a flood on one service evicts no used entry of another one.

--- a/src/balancer/balancercore.cpp
+++ b/src/balancer/balancercore.cpp
@@ -1,7 +1,6 @@
 #include "balancer/balancercore.h"
 
-#include "base/hash.h"
-
+#include <algorithm>
 #include <utility>
 
 namespace rhubarblane
@@ -13,16 +12,21 @@
 // Three missed announcements.
 constexpr Milliseconds TargetLease(4000);
 
-} // namespace
-
-std::size_t BalancerCore::ServiceEndpointHash::operator()(const ServiceEndpoint &endpoint) const noexcept
+bool hasEqualLabels(const wire::TargetEntry &a, const wire::TargetEntry &b)
 {
-    return hashPair(endpoint.address,
-                    (static_cast<std::uint64_t>(endpoint.port) << 8) | static_cast<std::uint64_t>(endpoint.protocol));
+    return std::equal(
+        a.labels().begin(),
+        a.labels().end(),
+        b.labels().begin(),
+        b.labels().end(),
+        [](const wire::Label &x, const wire::Label &y) { return x.key() == y.key() && x.value() == y.value(); });
 }
 
+} // namespace
+
 BalancerCore::BalancerCore(BalancerSettings settings)
     : settings_(std::move(settings))
+    , cache_(settings_.flowCacheLimit)
 {
 }
 
@@ -35,13 +39,35 @@
         return;
     }
     const PacketInfo &info = std::get<PacketInfo>(parsed);
-    const auto service =
-        services_.find(ServiceEndpoint {info.flow.serviceAddress, info.flow.servicePort, info.flow.protocol});
-    if (service == services_.end()) {
+    if (const std::optional<Route> found = route(info.flow)) {
+        forward(info, *found, packet);
+    }
+}
+
+std::optional<Route> BalancerCore::route(const FlowTuple &flow)
+{
+    const FlowHash hash = flowHashOf(flow);
+    cache_.prefetch(hash);
+    // The service is looked up for cached flows too: a cached flow of a removed service must not be forwarded.
+    const ServiceId service = services_.find(flow);
+    if (service == ServiceId()) {
         ++counters_.unknownService;
-        return;
+        return std::nullopt;
     }
-    forward(info, service->second, packet);
+    if (const CachedOwner *owner = cache_.find(hash)) {
+        if (targets_.isAlive(owner->target, owner->incarnation)) {
+            ++counters_.cacheHits;
+            return Route {service, PeerAddress {owner->address, owner->port}, owner->incarnation, true};
+        }
+        cache_.erase(hash);
+    }
+    const TargetRoute *home = targets_.homeOf(service, hash);
+    if (home == nullptr) {
+        ++counters_.noTarget;
+        return std::nullopt;
+    }
+    ++counters_.toHome;
+    return Route {service, home->address, home->incarnation, false};
 }
 
 void BalancerCore::handleMessage(Timestamp now, const PeerAddress &from, const wire::Envelope &message)
@@ -65,9 +91,12 @@
         return false;
     }
     configuration_ = configuration;
-    services_.clear();
+    services_ = ServiceIndex(configuration_.services.size());
+    specs_.clear();
     for (const auto &[name, service] : configuration_.services) {
-        services_[ServiceEndpoint {service.address, service.port, service.protocol}] = serviceIdOf(name);
+        const ServiceId id = serviceIdOf(name);
+        services_.insert(service.address, service.port, service.protocol, id);
+        specs_[id] = &service;
     }
     bindTargets();
     return true;
@@ -75,7 +104,11 @@
 
 void BalancerCore::mergeTarget(Timestamp now, const wire::TargetEntry &entry)
 {
-    if (targets_.merge(entry)) {
+    const KnownTarget *known = targets_.find(TargetId(entry.target()));
+    // Rules match only these fields, and a search through all rules for each change of a weight is too slow.
+    const bool sameRule = known != nullptr && known->entry.client() == entry.client()
+        && known->entry.availability_zone() == entry.availability_zone() && hasEqualLabels(known->entry, entry);
+    if (targets_.merge(entry) && !sameRule) {
         targets_.bind(TargetId(entry.target()), configuration_.serviceOf(entry));
     }
 }
@@ -93,12 +126,10 @@
 void BalancerCore::handle(Timestamp now, const PeerAddress &from, const wire::Announce &message)
 {
     mergeTarget(now, message.entry());
-    KnownTarget *known = targets_.find(TargetId(message.entry().target()));
-    if (known == nullptr || known->entry.incarnation() != message.entry().incarnation()) {
+    KnownTarget *known = targets_.announce(message.entry(), now + TargetLease);
+    if (known == nullptr) {
         return;
     }
-    known->entry = message.entry();
-    known->leaseEnd = now + TargetLease;
     known->load = message.load();
     known->configurationRevision = message.configuration_revision();
 
@@ -110,8 +141,9 @@
     ack->set_echo_sent_ms(message.sent_ms());
     ack->set_lease_ms(static_cast<std::uint64_t>(TargetLease.count()));
     ack->set_configuration_revision(configuration_.revision.value());
-    if (const ServiceSpec *service = configuration_.find(known->service)) {
-        *ack->mutable_service() = toWire(*service);
+    const auto service = specs_.find(known->service);
+    if (service != specs_.end()) {
+        *ack->mutable_service() = toWire(*service->second);
         for (const KnownTarget *member : targets_.membersOf(known->service)) {
             *ack->add_members() = member->entry;
         }
@@ -126,54 +158,33 @@
 
 void BalancerCore::handle(const wire::FlowOwner &message)
 {
-    const FlowHash flow = flowHashOf(fromWire(message.flow()));
+    const FlowTuple tuple = fromWire(message.flow());
+    const FlowHash flow = flowHashOf(tuple);
     if (message.gone()) {
         cache_.erase(flow);
         return;
     }
-    if (cache_.size() >= settings_.flowCacheLimit) {
-        // Any entry may go: the home knows the owner of each flow.
-        cache_.erase(cache_.begin());
+    const KnownTarget *known = targets_.find(TargetId(message.owner()));
+    const ServiceId service = services_.find(tuple);
+    if (known == nullptr || service == ServiceId()) {
+        return;
     }
     const PeerAddress owner = fromWire(message.owner_address());
-    cache_[flow] = CacheEntry {TargetId(message.owner()), owner.address, owner.port, message.owner_incarnation()};
+    cache_.insert(flow, service, CachedOwner {message.owner_incarnation(), known->index, owner.address, owner.port});
 }
 
-void BalancerCore::forward(const PacketInfo &info, ServiceId service, std::string_view packet)
+void BalancerCore::forward(const PacketInfo &info, const Route &route, std::string_view packet)
 {
-    BalancerSend action;
+    BalancerSend &action = actions_.emplace_back();
+    action.to = route.address;
     wire::Forward *message = action.message.mutable_forward();
-    message->set_service(service.value());
+    message->set_service(route.service.value());
     *message->mutable_flow() = toWire(info.flow);
     message->set_packet(packet.data(), packet.size());
     message->set_opening(info.canOpen());
+    message->set_to_owner(route.toOwner);
+    message->set_target_incarnation(route.incarnation);
     *message->mutable_balancer() = toWire(settings_.address);
-
-    const FlowHash hash = flowHashOf(info.flow);
-    const auto cached = cache_.find(hash);
-    if (cached != cache_.end()) {
-        const KnownTarget *owner = targets_.find(cached->second.owner);
-        const bool alive = owner != nullptr && owner->entry.incarnation() == cached->second.ownerIncarnation
-            && owner->entry.state() != wire::GONE;
-        if (alive) {
-            ++counters_.cacheHits;
-            message->set_to_owner(true);
-            message->set_target_incarnation(cached->second.ownerIncarnation);
-            action.to = PeerAddress {cached->second.ownerAddress, cached->second.ownerPort};
-            actions_.push_back(std::move(action));
-            return;
-        }
-        cache_.erase(cached);
-    }
-    const KnownTarget *home = targets_.homeOf(service, hash);
-    if (home == nullptr) {
-        ++counters_.noTarget;
-        return;
-    }
-    ++counters_.toHome;
-    message->set_target_incarnation(home->entry.incarnation());
-    action.to = fromWire(home->entry.address());
-    actions_.push_back(std::move(action));
 }
 
 void BalancerCore::countPacketError(PacketError error)
--- a/src/balancer/balancercore.h
+++ b/src/balancer/balancercore.h
@@ -2,12 +2,16 @@
 #define RHUBARBLANE_BALANCER_BALANCERCORE_H
 
 #include "balancer/balanceraction.h"
+#include "balancer/flowcache.h"
+#include "balancer/serviceindex.h"
 #include "balancer/targettable.h"
 #include "base/clock.h"
 #include "model/configuration.h"
 #include "wire/ippacket.h"
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -24,6 +28,14 @@
     std::size_t flowCacheLimit = 1000000;
 };
 
+/** Where a balancer sends a packet. */
+struct Route {
+    ServiceId service;
+    PeerAddress address;
+    std::uint64_t incarnation = 0;
+    bool toOwner = false;
+};
+
 /** Counters since the start of the process. */
 struct BalancerCounters {
     std::uint64_t packets = 0;
@@ -48,6 +60,9 @@
     /** Handles a raw IP packet from the fabric. */
     void handlePacket(Timestamp now, std::string_view packet);
 
+    /** Decides where a packet of the flow goes; none, and counted, if its service is unknown or has no target. */
+    std::optional<Route> route(const FlowTuple &flow);
+
     /** Handles an authenticated message from another process. */
     void handleMessage(Timestamp now, const PeerAddress &from, const wire::Envelope &message);
 
@@ -77,41 +92,24 @@
     {
         return cache_.size();
     }
+    std::size_t cacheBytes() const
+    {
+        return cache_.memoryBytes();
+    }
 
 private:
-    struct CacheEntry {
-        TargetId owner;
-        std::uint32_t ownerAddress = 0;
-        std::uint16_t ownerPort = 0;
-        std::uint64_t ownerIncarnation = 0;
-    };
-
-    struct ServiceEndpoint {
-        std::uint32_t address = 0;
-        std::uint16_t port = 0;
-        Protocol protocol = Protocol::Udp;
-
-        friend bool operator==(const ServiceEndpoint &a, const ServiceEndpoint &b)
-        {
-            return a.address == b.address && a.port == b.port && a.protocol == b.protocol;
-        }
-    };
-
-    struct ServiceEndpointHash {
-        std::size_t operator()(const ServiceEndpoint &endpoint) const noexcept;
-    };
-
     void handle(Timestamp now, const PeerAddress &from, const wire::Announce &message);
     void handle(const wire::FlowOwner &message);
-    void forward(const PacketInfo &info, ServiceId service, std::string_view packet);
+    void forward(const PacketInfo &info, const Route &route, std::string_view packet);
     void countPacketError(PacketError error);
     void bindTargets();
 
     BalancerSettings settings_;
     Configuration configuration_;
     TargetTable targets_;
-    std::unordered_map<ServiceEndpoint, ServiceId, ServiceEndpointHash> services_;
-    std::unordered_map<FlowHash, CacheEntry> cache_;
+    ServiceIndex services_;
+    std::unordered_map<ServiceId, const ServiceSpec *> specs_;
+    FlowCache cache_;
     BalancerCounters counters_;
     std::vector<BalancerSend> actions_;
 };
