--- a/src/agent/placement.h
+++ b/src/agent/placement.h
@@ -7,7 +7,6 @@
 #include "base/ids.h"
 
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <vector>
 
@@ -30,26 +29,20 @@
 public:
     explicit Placement(const AgentSettings &settings);
 
-    bool canAccept(const wire::TargetEntry &self, const LocalLoad &load) const;
-    /** True if a candidate accepts at once instead of asking the next one. */
-    bool acceptsAtOnce(const LocalLoad &load) const;
-    /** True if the local target's offer replaces the best one of a flow that found no free slot so far. */
-    bool isBetterOffer(const wire::Place &place, std::uint64_t wait) const;
+    bool canAccept(const wire::TargetEntry &self, const LocalLoad &load, std::uint32_t queueLimit) const;
+    bool hasFreeSlot(const LocalLoad &load) const;
     /** Expected wait of a new request at the local target, in ms. */
     std::uint64_t expectedWait(const LocalLoad &load) const;
     /** The targets that are asked in turn for a new flow. */
-    std::vector<TargetId> candidatesFor(FlowHash flow, const GroupRoster &roster) const;
+    static std::vector<TargetId>
+    candidatesFor(FlowHash flow, const GroupRoster &roster, std::size_t count = PlacementSettings().candidates);
 
     /** The number of active flows became `activeFlows` at this time. */
     void activeChanged(Timestamp now, std::uint32_t activeFlows);
-    /** The local target's offer became the best one of a flow. */
-    void offerMade(Timestamp now);
-    /** A flow came back to the local target because its offer was the best. */
-    void offerTaken();
     /** An active flow got its answer; call activeChanged() as well. */
     void requestCompleted();
-    /** Updates the capacity. Returns true if peers should learn of it. */
-    bool tick(Timestamp now);
+    /** Updates the capacity and the weight; to be called often. */
+    void tick(Timestamp now);
 
     /** Requests that one slot completes in 1000 s while it is in use. */
     std::uint32_t capacityMilli() const
@@ -64,11 +57,9 @@
 
 private:
     void integrate(Timestamp now);
-    double slotWait(const LocalLoad &load) const;
 
     PlacementSettings settings_;
     std::uint32_t slots_;
-    std::uint32_t queueLimit_;
     std::size_t flowLimit_;
     std::uint32_t capacityMilli_;
     std::uint32_t weightMilli_;
@@ -79,7 +70,6 @@
     double shareBusyMs_ = 0.0;
     double shareElapsedMs_ = 0.0;
     double completed_ = 0.0;
-    std::deque<Timestamp> offers_;
 };
 
 } // namespace rhubarblane
--- a/src/bench/sharemeter.h
+++ b/src/bench/sharemeter.h
@@ -19,6 +19,9 @@
     /** The windows that begin before `warmUpUs` or do not end before `endUs` are left out. */
     ShareMeter(std::size_t targets, std::int64_t warmUpUs, std::int64_t endUs);
 
+    /** A meter of the same windows and targets that has seen no work. */
+    ShareMeter emptyCopy() const;
+
     /** One slot of the target was in use during the span. */
     void addBusy(std::size_t target, std::int64_t fromUs, std::int64_t toUs);
 
