--- a/src/agent/agentcore.cpp
+++ b/src/agent/agentcore.cpp
@@ -233,6 +233,7 @@
 void AgentCore::tick(Timestamp now)
 {
     now = advance(now);
+    context_.placement.tick(now);
     context_.group.tick(now, load());
     home_.tick(now);
     if (now >= nextExpiry_) {
@@ -240,7 +241,6 @@
         owned_.tick(now);
         outcomes_.tick(now);
     }
-    context_.placement.tick(now);
     runColdStart(now);
     runDrain(now);
     owned_.collectLately(now, registrations_);
--- a/src/agent/flowhome.cpp
+++ b/src/agent/flowhome.cpp
@@ -178,8 +178,8 @@
 
 void FlowHome::place(Timestamp now, Decision &decision)
 {
-    std::vector<TargetId> candidates =
-        context_.placement.candidatesFor(flowHashOf(decision.flow), context_.group.roster());
+    std::vector<TargetId> candidates = Placement::candidatesFor(
+        flowHashOf(decision.flow), context_.group.roster(), context_.settings.placement.candidates);
     const auto firstQuiet = std::stable_partition(candidates.begin(), candidates.end(), [&](TargetId candidate) {
         return !context_.group.isQuiet(now, candidate);
     });
--- a/src/bench/report.cpp
+++ b/src/bench/report.cpp
@@ -69,7 +69,7 @@
     std::vector<double> idealWaits;
     for (std::size_t service = 0; service < meters_.size(); ++service) {
         const auto targets = static_cast<std::size_t>(options_.deployment->services[service].targets);
-        idealMeters.emplace_back(targets, warmUpUs_, endUs_);
+        idealMeters.push_back(meters_[service].emptyCopy());
         const auto speedAt = [this, service](std::size_t index, std::int64_t timeUs) {
             const std::size_t target = targetOf(service, index);
             const bool left = meters_[service].hasLeft(index, timeUs);
@@ -89,6 +89,7 @@
     result["flows"] = web::json::value(flows);
     for (const char *name : {"broken_planned",
                              "broken_unplanned",
+                             "unserved",
                              "misrouted",
                              "ran_twice",
                              "refused",
