Replace the thin membership with probing, rumors and anti-entropy

Cause: the first implementation sent its whole state to one peer every 500 ms; it had no failure detection, no tombstones and no bound on bytes.

A death needs two witnesses, so a process that is cut off, paused or whose clock jumped declares nobody. Changes spread as rumors, mostly inside the availability zone and through three bridges between regions; digests of 4,096 leaves repair what rumors miss. Tombstones last one hour of the process's own running time. Reports of the revision in force are aggregated per group and availability zone. A token bucket with six classes keeps the byte budget; anti-entropy gives way first, probes never. A suspicion is local to the watchers; only deaths spread, and the member refutes them with a higher sequence.

Before: 10 balancers exchanged all entries each round; nothing was tested.

--- /dev/null
+++ b/src/membership/bytebudget.cpp
@@ -0,0 +1,59 @@
+#include "membership/bytebudget.h"
+
+#include <algorithm>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+constexpr double BurstSeconds = 2.0;
+/** A debt of probes is forgiven beyond this, so that one burst does not silence the process for long. */
+constexpr double DebtSeconds = 2.0;
+/** Share of the rate at which anti-entropy data may arrive; the rest is for rumors and probes. */
+constexpr double RequestShare = 0.5;
+/** Share of the bucket that must be left for each class to send. */
+constexpr std::array<double, TrafficClasses> Reserve = {-1e9, 0.0, 0.1, 0.25, 0.4, 0.5};
+
+} // namespace
+
+ByteBudget::ByteBudget(std::uint64_t bytesPerSecond)
+    : rate_(static_cast<double>(bytesPerSecond))
+    , tokens_(rate_ * BurstSeconds)
+    , requestTokens_(rate_ * RequestShare)
+{
+}
+
+void ByteBudget::advance(Timestamp now)
+{
+    const double seconds = static_cast<double>((now - last_).count()) / 1000.0;
+    last_ = now;
+    tokens_ = std::min(tokens_ + seconds * rate_, rate_ * BurstSeconds);
+    requestTokens_ = std::min(requestTokens_ + seconds * rate_ * RequestShare, rate_ * RequestShare);
+}
+
+bool ByteBudget::admit(TrafficClass traffic)
+{
+    const auto index = static_cast<std::size_t>(traffic);
+    if (tokens_ > Reserve[index] * rate_ * BurstSeconds) {
+        return true;
+    }
+    ++counters_[index].heldBack;
+    return false;
+}
+
+void ByteBudget::charge(TrafficClass traffic, std::size_t bytes)
+{
+    TrafficCounters &counters = counters_[static_cast<std::size_t>(traffic)];
+    ++counters.messages;
+    counters.bytes += bytes;
+    tokens_ = std::max(tokens_ - static_cast<double>(bytes), -rate_ * DebtSeconds);
+}
+
+void ByteBudget::chargeReceived(std::size_t bytes)
+{
+    requestTokens_ -= static_cast<double>(bytes);
+}
+
+} // namespace rhubarblane
--- a/src/membership/membershipcore.cpp
+++ b/src/membership/membershipcore.cpp
@@ -1,5 +1,7 @@
 #include "membership/membershipcore.h"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace rhubarblane
@@ -8,199 +10,420 @@
 namespace
 {
 
-constexpr Milliseconds RoundInterval(500);
+/** A longer time without an event means that this process did not run, so its timers prove nothing about others. */
+constexpr Milliseconds ClockGap(1000);
+/** UDP and IP headers and the datagram seal. */
+constexpr std::size_t DatagramOverhead = 28 + 40;
+/** Rumors in a probe or its answer. */
+constexpr std::size_t PiggybackBytes = 300;
+constexpr std::size_t SpreadFanout = 3;
+constexpr std::size_t BatchesPerTick = 4;
+constexpr std::uint32_t RemoteTransmissions = 4;
+constexpr std::size_t ConflictLimit = 64;
+constexpr std::int64_t JoinBackoffMs = 500;
+constexpr std::int64_t JoinBackoffLimitMs = 30000;
+/** Digests differ while rumors are under way; only a lasting difference is worth an exchange. */
+constexpr Milliseconds SyncPatience(1200);
 
-template<typename Entry>
-bool isNewer(const Entry &candidate, const Entry &known)
+std::int64_t backoff(std::uint32_t attempts)
 {
-    if (candidate.incarnation() != known.incarnation()) {
-        return candidate.incarnation() > known.incarnation();
-    }
-    return candidate.sequence() > known.sequence();
-}
-
-MemberView viewOf(const wire::BalancerEntry &entry)
-{
-    return MemberView {BalancerId(entry.balancer()),
-                       entry.name(),
-                       fromWire(entry.address()),
-                       fromWire(entry.http_address()),
-                       entry.availability_zone(),
-                       entry.region(),
-                       entry.state()};
+    return std::min(JoinBackoffMs << std::min<std::uint32_t>(attempts, 10), JoinBackoffLimitMs);
 }
 
 } // namespace
 
 MembershipCore::MembershipCore(MembershipSettings settings)
     : settings_(std::move(settings))
+    , self_(balancerIdOf(settings_.name))
     , random_(settings_.randomSeed)
+    , members_(self_, settings_.availabilityZone, settings_.region)
+    , budget_(settings_.bytesPerSecond)
+    , sync_(members_, targets_)
+    , inForce_(self_, settings_.availabilityZone)
+{
+    wire::BalancerEntry entry;
+    entry.set_balancer(self_.value());
+    entry.set_incarnation(settings_.incarnation.value());
+    entry.set_sequence(1);
+    entry.set_name(settings_.name);
+    *entry.mutable_address() = toWire(settings_.address);
+    *entry.mutable_http_address() = toWire(settings_.httpAddress);
+    entry.set_availability_zone(settings_.availabilityZone);
+    entry.set_region(settings_.region);
+    entry.set_state(wire::SERVING);
+    members_.merge(now_, entry);
+    nextJoin_ = now_ + jitter(0, JoinBackoffMs);
+    nextSync_ = now_ + jitter(0, SyncPatience.count());
+}
+
+Milliseconds MembershipCore::jitter(std::int64_t from, std::int64_t to)
+{
+    return Milliseconds(from + static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(to - from + 1)));
+}
+
+PeerAddress MembershipCore::addressOf(BalancerId id) const
 {
-    self_.set_balancer(balancerIdOf(settings_.name).value());
-    self_.set_incarnation(settings_.incarnation.value());
-    self_.set_sequence(1);
-    self_.set_name(settings_.name);
-    *self_.mutable_address() = toWire(settings_.address);
-    *self_.mutable_http_address() = toWire(settings_.httpAddress);
-    self_.set_availability_zone(settings_.availabilityZone);
-    self_.set_region(settings_.region);
-    self_.set_state(wire::SERVING);
+    const Member *member = members_.member(id);
+    return member != nullptr ? member->address : PeerAddress();
 }
 
-void MembershipCore::fill(wire::Gossip &message) const
+void MembershipCore::advance(Timestamp now)
 {
-    *message.mutable_self() = self_;
-    for (const auto &[id, entry] : members_) {
-        *message.add_balancers() = entry;
+    if (!started_) {
+        started_ = true;
+        lastEvent_ = now;
     }
-    for (const auto &[id, entry] : targets_) {
-        *message.add_targets() = entry;
+    const Milliseconds passed = now - lastEvent_;
+    lastEvent_ = now;
+    // A pause or a clock jump adds at most the gap to this process's own time, so that neither expires a tombstone.
+    now_ = now_ + std::clamp(passed, Milliseconds(0), ClockGap);
+    if (passed > ClockGap || passed < Milliseconds(0)) {
+        ++counters_.clockGaps;
+        detector_.distrustTimers(now_);
+        differences_.clear();
     }
+    budget_.advance(now_);
 }
 
-void MembershipCore::send(const PeerAddress &to, wire::Gossip::Kind kind)
+bool MembershipCore::send(const PeerAddress &to, wire::Gossip message, TrafficClass traffic)
 {
+    if (to == settings_.address || to == PeerAddress() || !budget_.admit(traffic)) {
+        return false;
+    }
+    const Member &self = *members_.member(self_);
+    message.set_sender(self_.value());
+    message.set_incarnation(self.version.incarnation);
+    message.set_sequence(self.version.sequence);
+    message.set_configuration_revision(revision_);
+    message.set_configuration_digest(configurationDigest_);
+    message.set_member_digest(members_.digests().root());
+    message.set_target_digest(targets_.digests().root());
     MembershipSend action;
     action.to = to;
-    action.message.mutable_gossip()->set_kind(kind);
-    fill(*action.message.mutable_gossip());
+    *action.message.mutable_gossip() = std::move(message);
+    budget_.charge(traffic, action.message.ByteSizeLong() + DatagramOverhead);
     actions_.push_back(std::move(action));
+    return true;
 }
 
-void MembershipCore::handleMessage(Timestamp now, const PeerAddress &from, const wire::Gossip &message)
+void MembershipCore::probe(const PeerAddress &to, std::uint64_t number, BalancerId subject)
 {
-    const auto mergeMember = [this](const wire::BalancerEntry &entry) {
-        if (entry.balancer() == 0 || entry.balancer() == self_.balancer()) {
-            return;
-        }
-        const auto known = members_.find(BalancerId(entry.balancer()));
-        if (known == members_.end() || isNewer(entry, known->second)) {
-            members_[BalancerId(entry.balancer())] = entry;
-        }
-    };
-    mergeMember(message.self());
-    for (const wire::BalancerEntry &entry : message.balancers()) {
-        mergeMember(entry);
-    }
-    for (const wire::TargetEntry &entry : message.targets()) {
-        const auto known = targets_.find(TargetId(entry.target()));
-        if (known == targets_.end() || isNewer(entry, known->second)) {
-            targets_[TargetId(entry.target())] = entry;
-            changedTargets_.push_back(entry);
-        }
+    wire::Gossip message;
+    message.set_kind(wire::Gossip::PROBE);
+    message.set_probe(number);
+    const Member *member = members_.member(subject);
+    if (member != nullptr && member->version.isGone()) {
+        *message.add_balancer_changes() = toChange(subject.value(), member->version);
     }
-    if (message.kind() == wire::Gossip::PROBE) {
-        send(from, wire::Gossip::ACK);
+    piggyback(message);
+    send(to, std::move(message), TrafficClass::Probe);
+}
+
+std::uint32_t MembershipCore::transmissions() const
+{
+    // While very many entries change at once, as when all balancers start, anti-entropy moves them in fewer bytes.
+    if (rumors_.size() > RumorQueue::Few) {
+        return SpreadFanout;
     }
+    // Each process sends a rumor this often; e^-6 of the processes miss it and are repaired by anti-entropy.
+    return 6 + static_cast<std::uint32_t>(std::ceil(std::log(static_cast<double>(members_.liveCount()))));
 }
 
-void MembershipCore::tick(Timestamp now)
+void MembershipCore::spread(bool target, std::uint64_t id, bool changeOnly)
 {
-    if (now < nextRound_) {
-        return;
+    Rumor rumor;
+    rumor.target = target;
+    rumor.id = id;
+    rumor.changeOnly = changeOnly;
+    rumor.traffic = target ? TrafficClass::Target : TrafficClass::Member;
+    if (changeOnly) {
+        rumor.traffic = TrafficClass::Urgent;
     }
-    nextRound_ = now + RoundInterval;
-    std::vector<PeerAddress> peers;
-    for (const PeerAddress &seed : settings_.seeds) {
-        if (seed != settings_.address) {
-            peers.push_back(seed);
+    // Two more divide the number of balancers that miss a drain, and wait for anti-entropy, by e^2.
+    rumor.transmissions = transmissions() + (changeOnly ? 2 : 0);
+    rumor.remoteTransmissions = members_.isBridge() && !members_.otherRegions().empty() ? RemoteTransmissions : 0;
+    rumors_.add(rumor);
+}
+
+wire::Gossip MembershipCore::collect(const std::vector<Rumor> &rumors, std::size_t &next, std::size_t limit) const
+{
+    wire::Gossip message;
+    message.set_kind(wire::Gossip::SPREAD);
+    std::size_t bytes = 0;
+    for (; next < rumors.size(); ++next) {
+        const Rumor &rumor = rumors[next];
+        const EntryTable &table = rumor.target ? static_cast<const EntryTable &>(targets_) : members_;
+        wire::Gossip item;
+        const std::optional<EntryVersion> version = table.find(rumor.id);
+        if (version && (rumor.changeOnly || !table.append(rumor.id, item))) {
+            *(rumor.target ? item.add_target_changes() : item.add_balancer_changes()) = toChange(rumor.id, *version);
         }
-    }
-    for (const auto &[id, entry] : members_) {
-        if (entry.state() != wire::GONE) {
-            peers.push_back(fromWire(entry.address()));
+        const std::size_t size = item.ByteSizeLong();
+        if (bytes + size > limit) {
+            break;
         }
+        bytes += size;
+        message.MergeFrom(item);
     }
-    if (!peers.empty()) {
-        send(peers[random_() % peers.size()], wire::Gossip::PROBE);
-    }
+    return message;
 }
 
-std::vector<MembershipSend> MembershipCore::takeActions()
+void MembershipCore::piggyback(wire::Gossip &message)
 {
-    return std::exchange(actions_, {});
+    if (rumors_.size() == 0) {
+        return;
+    }
+    const std::vector<Rumor> rumors = rumors_.pending(false);
+    std::size_t next = 0;
+    wire::Gossip items = collect(rumors, next, PiggybackBytes);
+    items.clear_kind();
+    message.MergeFrom(items);
+    for (std::size_t i = 0; i < next; ++i) {
+        rumors_.sent(rumors[i].target, rumors[i].id, 1, 0);
+    }
 }
 
-void MembershipCore::setConfiguration(Revision revision, std::uint64_t digest)
+void MembershipCore::flushRumors()
 {
-    self_.set_configuration_revision(revision.value());
-    self_.set_configuration_digest(digest);
-    self_.set_sequence(self_.sequence() + 1);
+    const std::vector<Rumor> rumors = rumors_.pending(false);
+    std::size_t next = 0;
+    const auto sendToPeers = [this](const wire::Gossip &message, TrafficClass traffic) {
+        std::uint32_t sent = 0;
+        std::vector<BalancerId> chosen;
+        for (std::size_t i = 0; i < SpreadFanout; ++i) {
+            const std::optional<BalancerId> peer = members_.spreadPeer(random_);
+            if (peer && std::find(chosen.begin(), chosen.end(), *peer) == chosen.end()) {
+                chosen.push_back(*peer);
+                sent += send(addressOf(*peer), message, traffic) ? 1 : 0;
+            }
+        }
+        return sent;
+    };
+    std::uint32_t sentInAll = 0;
+    for (std::size_t batch = 0; batch < BatchesPerTick && next < rumors.size(); ++batch) {
+        const std::size_t first = next;
+        const wire::Gossip message = collect(rumors, next, EntrySync::EntryBytes);
+        const std::uint32_t sent = sendToPeers(message, rumors[first].traffic);
+        if (sent == 0) {
+            break;
+        }
+        sentInAll += sent;
+        for (std::size_t i = first; i < next; ++i) {
+            rumors_.sent(rumors[i].target, rumors[i].id, sent, 0);
+        }
+    }
+    // Every message names the revision, so the configuration needs messages of its own only without other rumors.
+    if (configurationTransmissions_ > 0) {
+        if (sentInAll == 0) {
+            wire::Gossip message;
+            message.set_kind(wire::Gossip::SPREAD);
+            sentInAll = sendToPeers(message, TrafficClass::Urgent);
+        }
+        configurationTransmissions_ -= std::min(configurationTransmissions_, sentInAll);
+    }
 }
 
-void MembershipCore::setTarget(const wire::TargetEntry &entry)
+void MembershipCore::flushRemote()
 {
-    targets_[TargetId(entry.target())] = entry;
+    if (!members_.isBridge() || members_.otherRegions().empty()) {
+        configurationRemote_ = 0;
+        return;
+    }
+    const std::vector<Rumor> rumors = rumors_.pending(true);
+    if (rumors.empty() && configurationRemote_ == 0) {
+        return;
+    }
+    std::size_t next = 0;
+    const wire::Gossip message = collect(rumors, next, EntrySync::EntryBytes);
+    const TrafficClass traffic = next > 0 ? rumors.front().traffic : TrafficClass::Urgent;
+    bool isSent = false;
+    for (const auto &[region, peers] : members_.otherRegions()) {
+        isSent = send(addressOf(members_.remotePeer(peers, random_)), message, traffic) || isSent;
+    }
+    if (isSent) {
+        configurationRemote_ -= std::min<std::uint32_t>(configurationRemote_, 1);
+        for (std::size_t i = 0; i < next; ++i) {
+            rumors_.sent(rumors[i].target, rumors[i].id, 0, 1);
+        }
+    }
 }
 
-std::vector<wire::TargetEntry> MembershipCore::takeChangedTargets()
+void MembershipCore::runDetector()
 {
-    return std::exchange(changedTargets_, {});
+    for (const DetectorAction &action : detector_.tick(now_, self_, members_, random_)) {
+        if (const auto *probeAction = std::get_if<ProbeMember>(&action)) {
+            probe(addressOf(probeAction->subject), probeAction->probe, probeAction->subject);
+        } else if (const auto *request = std::get_if<RequestProbe>(&action)) {
+            wire::Gossip message;
+            message.set_kind(wire::Gossip::PROBE_REQUEST);
+            message.set_probe(request->probe);
+            *message.mutable_subject() = toWire(addressOf(request->subject));
+            send(addressOf(request->helper), std::move(message), TrafficClass::Probe);
+        } else if (const auto *answer = std::get_if<AnswerRequest>(&action)) {
+            wire::Gossip message;
+            message.set_kind(wire::Gossip::ACK);
+            message.set_probe(answer->probe);
+            message.set_unreachable(answer->unreachable);
+            *message.mutable_subject() = toWire(addressOf(answer->subject));
+            send(answer->to, std::move(message), TrafficClass::Probe);
+        } else if (const auto *gone = std::get_if<DeclareGone>(&action)) {
+            EntryVersion version = members_.member(gone->subject)->version;
+            version.state = wire::GONE;
+            ++counters_.declaredGone;
+            mergeMember(members_.merge(now_, toChange(gone->subject.value(), version)), gone->subject.value(), true);
+        }
+    }
 }
 
-std::vector<MemberView> MembershipCore::members() const
+void MembershipCore::runJoin()
 {
-    std::vector<MemberView> result {viewOf(self_)};
-    for (const auto &[id, entry] : members_) {
-        if (entry.state() != wire::GONE) {
-            result.push_back(viewOf(entry));
+    if (now_ < nextJoin_) {
+        return;
+    }
+    // Full jitter: after an outage all processes start at once and must not reach the seeds at once.
+    nextJoin_ = now_ + jitter(JoinBackoffMs / 2, backoff(joinAttempts_++));
+    // Seeds that are not known yet are contacted even with other members known, so that two groups of balancers that
+    // started through different seeds find each other.
+    std::vector<PeerAddress> unknown;
+    for (const PeerAddress &seed : settings_.seeds) {
+        if (seed != settings_.address && !members_.memberAt(seed)) {
+            unknown.push_back(seed);
         }
     }
-    return result;
+    if (unknown.empty()) {
+        return;
+    }
+    const PeerAddress seed = unknown[random_() % unknown.size()];
+    wire::Gossip message;
+    message.set_kind(wire::Gossip::PROBE);
+    wire::Gossip self;
+    members_.append(self_.value(), self);
+    *message.mutable_self() = self.balancers(0);
+    send(seed, std::move(message), TrafficClass::Probe);
 }
 
-std::optional<ConfigurationPeer> MembershipCore::newestConfigurationPeer() const
+void MembershipCore::runContacts()
 {
-    std::optional<ConfigurationPeer> best;
-    std::uint64_t highest = self_.configuration_revision();
-    for (const auto &[id, entry] : members_) {
-        if (entry.state() != wire::GONE && entry.configuration_revision() > highest) {
-            highest = entry.configuration_revision();
-            best = ConfigurationPeer {entry.name(),
-                                      fromWire(entry.address()),
-                                      fromWire(entry.http_address()),
-                                      Revision(highest),
-                                      entry.configuration_digest()};
+    if (now_ >= nextTombstoneProbe_) {
+        // All balancers together probe about ten tombstones a second, so a healed partition is noticed soon.
+        const auto live = static_cast<std::int64_t>(members_.liveCount());
+        nextTombstoneProbe_ = now_ + jitter(500, std::max<std::int64_t>(1500, live * 100));
+        const std::vector<BalancerId> gone = members_.tombstones();
+        if (!gone.empty()) {
+            const BalancerId subject = gone[random_() % gone.size()];
+            probe(addressOf(subject), 0, subject);
+        }
+    }
+    if (now_ >= nextRemoteContact_) {
+        nextRemoteContact_ = now_ + jitter(1000, 2000);
+        for (const auto &[region, peers] : members_.otherRegions()) {
+            if (members_.isBridge() || random_() % 64 == 0) {
+                const BalancerId peer = members_.remotePeer(peers, random_);
+                probe(addressOf(peer), 0, peer);
+            }
         }
     }
-    return best;
 }
 
-void MembershipCore::watchInForce(Timestamp now)
+void MembershipCore::verify(BalancerId member, const PeerAddress &peer)
 {
+    if (conflicts_.size() < ConflictLimit) {
+        conflicts_.push_back(Conflict {member, peer, now_ + ClockGap});
+        probe(addressOf(member), 0, member);
+    }
 }
 
-InForceCount MembershipCore::inForceCount(Revision revision) const
+void MembershipCore::runConflicts()
 {
-    InForceCount result;
-    result.members = 1;
-    result.inForce = self_.configuration_revision() >= revision.value() ? 1 : 0;
-    result.complete = true;
-    for (const auto &[id, entry] : members_) {
-        if (entry.state() == wire::GONE) {
+    for (const MemberConflict &conflict : sync_.takeConflicts()) {
+        verify(conflict.member, conflict.peer);
+    }
+    for (auto position = conflicts_.begin(); position != conflicts_.end();) {
+        if (now_ < position->deadline) {
+            ++position;
             continue;
         }
-        ++result.members;
-        if (entry.configuration_revision() >= revision.value()) {
-            ++result.inForce;
-        } else {
-            result.lagging.push_back(entry.name());
+        const Member *member = members_.member(position->member);
+        if (member != nullptr && member->version.isGone()) {
+            wire::Gossip message;
+            message.set_kind(wire::Gossip::SPREAD);
+            *message.add_balancer_changes() = toChange(position->member.value(), member->version);
+            send(position->peer, std::move(message), TrafficClass::Member);
         }
+        position = conflicts_.erase(position);
     }
-    return result;
 }
 
-void MembershipCore::requestService(Timestamp now, ServiceId service)
+void MembershipCore::runSync()
 {
+    if (sync_.isRequesting()) {
+        if (budget_.mayRequest()) {
+            for (SyncMessage &request : sync_.nextRequest()) {
+                send(request.to, std::move(request.message), TrafficClass::Sync);
+            }
+        }
+        return;
+    }
+    if (now_ < nextSync_) {
+        return;
+    }
+    std::vector<std::pair<Difference *, std::size_t>> lasting;
+    for (auto &[region, difference] : differences_) {
+        for (std::size_t table = 0; table < difference.since.size(); ++table) {
+            if (difference.since[table] && now_ - *difference.since[table] >= SyncPatience) {
+                lasting.emplace_back(&difference, table);
+            }
+        }
+    }
+    if (lasting.empty()) {
+        return;
+    }
+    nextSync_ = now_ + jitter(500, 1500);
+    ++counters_.syncs;
+    const auto [difference, table] = lasting[random_() % lasting.size()];
+    difference->since[table].reset();
+    SyncMessage start = sync_.start(difference->peer[table], table == 0, table == 1);
+    send(start.to, std::move(start.message), TrafficClass::Sync);
 }
 
-void MembershipCore::leave(Timestamp now)
+void MembershipCore::runInForce()
 {
-    self_.set_state(wire::GONE);
-    self_.set_sequence(self_.sequence() + 1);
-    for (const auto &[id, entry] : members_) {
-        send(fromWire(entry.address()), wire::Gossip::SPREAD);
+    for (const InForceMessage &action : inForce_.tick(now_, members_, random_)) {
+        wire::Gossip message;
+        message.set_kind(wire::Gossip::SPREAD);
+        message.set_in_force_report(action.report);
+        message.set_wants_in_force(action.wantsSummary);
+        for (const wire::InForceSummary &summary : action.summaries) {
+            *message.add_in_force() = summary;
+        }
+        send(addressOf(action.to), std::move(message), TrafficClass::InForce);
     }
 }
 
+void MembershipCore::tick(Timestamp now)
+{
+    advance(now);
+    if (leaving_) {
+        return;
+    }
+    runDetector();
+    runJoin();
+    runContacts();
+    runConflicts();
+    flushRumors();
+    flushRemote();
+    runInForce();
+    runSync();
+    if (now_ >= nextExpiry_) {
+        nextExpiry_ = now_ + Milliseconds(10000);
+        members_.expire(now_);
+        targets_.expire(now_);
+    }
+}
+
+std::vector<MembershipSend> MembershipCore::takeActions()
+{
+    return std::exchange(actions_, {});
+}
+
 } // namespace rhubarblane
--- a/src/membership/membershipcore.h
+++ b/src/membership/membershipcore.h
@@ -1,8 +1,16 @@
 #ifndef RHUBARBLANE_MEMBERSHIP_MEMBERSHIPCORE_H
 #define RHUBARBLANE_MEMBERSHIP_MEMBERSHIPCORE_H
 
+#include "membership/bytebudget.h"
+#include "membership/entrysync.h"
+#include "membership/failuredetector.h"
+#include "membership/inforceaggregator.h"
 #include "membership/membershipsettings.h"
+#include "membership/membertable.h"
+#include "membership/rumorqueue.h"
+#include "membership/targetentries.h"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <random>
@@ -38,14 +46,16 @@
     std::uint64_t digest = 0;
 };
 
-/** On how many balancers a revision, or a later one, is in force. */
-struct InForceCount {
-    std::size_t inForce = 0;
-    std::size_t members = 0;
-    /** Names of balancers on an earlier revision or without a report; not all of them if they are many. */
-    std::vector<std::string> lagging;
-    /** False while the summary of an availability zone is missing. */
-    bool complete = false;
+/** Counters since the start of the process. */
+struct MembershipCounters {
+    std::uint64_t received = 0;
+    std::uint64_t receivedBytes = 0;
+    std::uint64_t declaredGone = 0;
+    std::uint64_t refuted = 0;
+    std::uint64_t clockGaps = 0;
+    std::uint64_t staleSenders = 0;
+    std::uint64_t olderEntries = 0;
+    std::uint64_t syncs = 0;
 };
 
 /**
@@ -89,18 +99,114 @@
     /** Tells the others that this balancer leaves. The process may end when takeActions() is sent. */
     void leave(Timestamp now);
 
+    /** Members that this balancer suspects to be dead. */
+    std::size_t suspects() const
+    {
+        return detector_.suspects();
+    }
+    const std::array<TrafficCounters, TrafficClasses> &traffic() const
+    {
+        return budget_.counters();
+    }
+    const MembershipCounters &counters() const
+    {
+        return counters_;
+    }
+    const MemberTable &memberTable() const
+    {
+        return members_;
+    }
+    const TargetEntries &targets() const
+    {
+        return targets_;
+    }
+
 private:
-    void send(const PeerAddress &to, wire::Gossip::Kind kind);
-    void fill(wire::Gossip &message) const;
+    struct Conflict {
+        BalancerId member;
+        PeerAddress peer;
+        Timestamp deadline;
+    };
+
+    /** Since when the tables differ from a peer's, and from which; index 0 is members, 1 is targets. */
+    struct Difference {
+        std::array<std::optional<Timestamp>, 2> since;
+        std::array<PeerAddress, 2> peer;
+    };
+
+    void advance(Timestamp now);
+    bool send(const PeerAddress &to, wire::Gossip message, TrafficClass traffic);
+    void probe(const PeerAddress &to, std::uint64_t number, BalancerId subject);
+
+    void mergeEntries(const PeerAddress &from, const wire::Gossip &message);
+    void mergeEntry(const PeerAddress &from, const wire::BalancerEntry &entry);
+    void mergeEntry(const PeerAddress &from, const wire::TargetEntry &entry);
+    void mergeMember(MergeResult result, std::uint64_t id, bool changeOnly);
+    void mergeTarget(MergeResult result, std::uint64_t id, bool changeOnly);
+    bool defendSelf(const EntryVersion &version);
+    bool defendTarget(std::uint64_t id, const EntryVersion &version);
+    /** Checks what the sender says about itself; false if it is an earlier start of a known member. */
+    bool noteSender(const PeerAddress &from, const wire::Gossip &message);
+    void noteConfiguration(BalancerId sender, const wire::Gossip &message);
+    void noteDigests(const PeerAddress &from, const wire::Gossip &message);
+    void verify(BalancerId member, const PeerAddress &peer);
+    void handleKind(const PeerAddress &from, const wire::Gossip &message);
+    void handleInForce(const PeerAddress &from, const wire::Gossip &message);
+    void answerService(const PeerAddress &to, ServiceId service);
+
+    void spread(bool target, std::uint64_t id, bool changeOnly);
+    std::uint32_t transmissions() const;
+    wire::Gossip collect(const std::vector<Rumor> &rumors, std::size_t &next, std::size_t limit) const;
+    void flushRumors();
+    void flushRemote();
+    void piggyback(wire::Gossip &message);
+
+    void runDetector();
+    void runJoin();
+    void runContacts();
+    void runConflicts();
+    void runSync();
+    void runInForce();
+    PeerAddress addressOf(BalancerId id) const;
+    Milliseconds jitter(std::int64_t from, std::int64_t to);
 
     MembershipSettings settings_;
+    BalancerId self_;
     std::mt19937_64 random_;
-    wire::BalancerEntry self_;
-    std::map<BalancerId, wire::BalancerEntry> members_;
-    std::map<TargetId, wire::TargetEntry> targets_;
-    std::vector<wire::TargetEntry> changedTargets_;
+    MemberTable members_;
+    TargetEntries targets_;
+    FailureDetector detector_;
+    RumorQueue rumors_;
+    ByteBudget budget_;
+    EntrySync sync_;
+    InForceAggregator inForce_;
+    MembershipCounters counters_;
     std::vector<MembershipSend> actions_;
-    Timestamp nextRound_;
+
+    /** The latest versions of the targets that announce here; the sequence may be ahead of the spread entry. */
+    std::map<std::uint64_t, wire::TargetEntry> announced_;
+    std::map<std::uint64_t, wire::TargetEntry> changedTargets_;
+    std::vector<Conflict> conflicts_;
+
+    std::uint64_t revision_ = 0;
+    std::uint64_t configurationDigest_ = 0;
+    std::uint32_t configurationTransmissions_ = 0;
+    std::uint32_t configurationRemote_ = 0;
+    std::optional<BalancerId> newest_;
+
+    bool leaving_ = false;
+    bool started_ = false;
+    /** The caller's time of the last event, and the time that this process was seen to run. */
+    Timestamp lastEvent_;
+    Timestamp now_;
+    std::uint32_t joinAttempts_ = 0;
+    Timestamp nextJoin_;
+    Timestamp nextTombstoneProbe_;
+    Timestamp nextRemoteContact_;
+    Timestamp nextSync_;
+    Timestamp nextExpiry_;
+    /** Tables that differ from those of a region's peers, by region. */
+    std::map<std::string, Difference> differences_;
 };
 
 } // namespace rhubarblane
--- /dev/null
+++ b/src/tests/inforcetest.cpp
@@ -0,0 +1,115 @@
+#define BOOST_TEST_MODULE InForce
+#include "membership/measure/fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace rhubarblane;
+
+namespace
+{
+
+struct InForceFixture {
+    static FleetSettings settings(std::size_t balancers)
+    {
+        FleetSettings result;
+        result.balancers = balancers;
+        result.randomSeed = 5;
+        return result;
+    }
+
+    static void watch(Fleet &fleet, std::size_t node, int seconds)
+    {
+        for (int i = 0; i < seconds; ++i) {
+            fleet.core(node).watchInForce(fleet.now());
+            fleet.run(Milliseconds(1000));
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(InForceTest, InForceFixture)
+
+// Guards against a status that says a change is in force on all balancers before it is, or never says so.
+BOOST_AUTO_TEST_CASE(revisionInForceEverywhereIsCountedOnAllBalancers)
+{
+    Fleet fleet(settings(20));
+    fleet.run(Milliseconds(30000));
+    fleet.core(3).setConfiguration(Revision(7), 70);
+    watch(fleet, 11, 5);
+    const InForceCount count = fleet.core(11).inForceCount(Revision(7));
+    BOOST_TEST(count.complete);
+    BOOST_TEST(count.members == 20u);
+    BOOST_TEST(count.inForce == 20u);
+    BOOST_TEST(count.lagging.empty());
+    BOOST_TEST(fleet.core(11).inForceCount(Revision(8)).inForce == 0u);
+}
+
+// Guards against a balancer that lags without the operator learning its name.
+BOOST_AUTO_TEST_CASE(balancerThatDoesNotApplyRevisionIsNamedAsLagging)
+{
+    Fleet fleet(settings(20));
+    fleet.run(Milliseconds(30000));
+    fleet.core(3).setConfiguration(Revision(7), 70);
+    fleet.run(Milliseconds(5000));
+    // Balancer 9 hears nothing and still sends, so it stays on revision 7.
+    fleet.setCut([](std::size_t from, std::size_t to) { return to == 9; });
+    fleet.core(3).setConfiguration(Revision(8), 80);
+    watch(fleet, 11, 2);
+    const InForceCount count = fleet.core(11).inForceCount(Revision(8));
+    BOOST_TEST(count.complete);
+    BOOST_TEST(count.inForce == 19u);
+    BOOST_REQUIRE(count.lagging.size() == 1u);
+    BOOST_TEST(count.lagging.front() == fleet.name(9));
+}
+
+// Guards against a count that needs a report of each balancer at the one that is asked.
+BOOST_AUTO_TEST_CASE(balancerThatIsAskedHearsOneSummaryPerAvailabilityZone)
+{
+    Fleet fleet(settings(200));
+    for (std::size_t i = 0; i < 200; ++i) {
+        fleet.core(i).setConfiguration(Revision(1), 10);
+    }
+    fleet.run(Milliseconds(90000));
+    BOOST_TEST(fleet.wrongViews() == 0u);
+    std::size_t summaries = 0;
+    std::size_t reports = 0;
+    std::vector<std::size_t> reportsAt(200, 0);
+    fleet.setObserver([&](std::size_t from, std::size_t to, const wire::Gossip &message) {
+        reportsAt[to] += message.in_force_report() ? 1 : 0;
+        if (to == 11) {
+            summaries += static_cast<std::size_t>(message.in_force_size());
+            reports += message.in_force_report() ? 1 : 0;
+        }
+    });
+    watch(fleet, 11, 10);
+    const InForceCount count = fleet.core(11).inForceCount(Revision(1));
+    BOOST_TEST(count.complete);
+    BOOST_TEST(count.inForce == 200u);
+    BOOST_TEST(summaries <= 4u * 20 + 20);
+    // Groups of about 40 members that report every 5 s.
+    BOOST_TEST(*std::max_element(reportsAt.begin(), reportsAt.end()) <= 80u);
+}
+
+// Guards against a count that stays wrong after its aggregators died.
+BOOST_AUTO_TEST_CASE(countAfterDeathOfAggregatorsIsCompleteAgain)
+{
+    Fleet fleet(settings(12));
+    fleet.run(Milliseconds(30000));
+    fleet.core(0).setConfiguration(Revision(1), 10);
+    fleet.run(Milliseconds(5000));
+    // Of three members in each availability zone, two die, so some of them were aggregators.
+    for (std::size_t i = 4; i < 12; ++i) {
+        fleet.kill(i);
+        fleet.run(Milliseconds(6000));
+    }
+    watch(fleet, 1, 20);
+    const InForceCount count = fleet.core(1).inForceCount(Revision(1));
+    BOOST_TEST(count.complete);
+    BOOST_TEST(count.members == 4u);
+    BOOST_TEST(count.inForce == 4u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/tests/memberfailuretest.cpp
@@ -0,0 +1,174 @@
+#define BOOST_TEST_MODULE MemberFailure
+#include "membership/measure/fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace rhubarblane;
+
+namespace
+{
+
+struct FailureFixture {
+    static FleetSettings settings(std::size_t balancers, double loss = 0.0)
+    {
+        FleetSettings result;
+        result.balancers = balancers;
+        result.loss = loss;
+        result.randomSeed = 7;
+        return result;
+    }
+
+    static std::uint64_t declarations(Fleet &fleet)
+    {
+        std::uint64_t result = 0;
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            result += fleet.isRunning(i) ? fleet.core(i).counters().declaredGone : 0;
+        }
+        return result;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(MemberFailureTest, FailureFixture)
+
+// Guards against a dead balancer that is still chosen as a peer after the promised 5 s.
+BOOST_AUTO_TEST_CASE(fleetWithKilledMemberShowsItGoneWithinFiveSeconds)
+{
+    Fleet fleet(settings(10));
+    fleet.run(Milliseconds(20000));
+    for (std::size_t victim = 0; victim < 5; ++victim) {
+        fleet.kill(victim);
+        fleet.run(Milliseconds(5000));
+        BOOST_TEST(fleet.wrongViews() == 0u);
+        fleet.start(victim);
+        fleet.run(Milliseconds(20000));
+        BOOST_TEST(fleet.wrongViews() == 0u);
+    }
+    BOOST_TEST(fleet.falseDeaths() == 0u);
+}
+
+// Guards against watchers that all died together, so that nobody probes the dead.
+BOOST_AUTO_TEST_CASE(fleetWithThirdKilledAtOnceShowsThemGoneWithinEightSeconds)
+{
+    Fleet fleet(settings(30));
+    fleet.run(Milliseconds(30000));
+    for (std::size_t i = 0; i < 10; ++i) {
+        fleet.kill(i * 3);
+    }
+    fleet.run(Milliseconds(8000));
+    BOOST_TEST(fleet.wrongViews() == 0u);
+    BOOST_TEST(fleet.falseDeaths() == 0u);
+}
+
+// Guards against a watcher that waits for the declaration of one dead neighbour before it probes the next.
+BOOST_AUTO_TEST_CASE(fleetWithNeighboursOnRingKilledShowsThemGoneWithinEightSeconds)
+{
+    Fleet fleet(settings(30));
+    fleet.run(Milliseconds(30000));
+    std::vector<std::size_t> ring(fleet.size());
+    for (std::size_t i = 0; i < ring.size(); ++i) {
+        ring[i] = i;
+    }
+    std::sort(ring.begin(), ring.end(), [&fleet](std::size_t a, std::size_t b) {
+        return balancerIdOf(fleet.name(a)) < balancerIdOf(fleet.name(b));
+    });
+    for (std::size_t i = 0; i < 10; ++i) {
+        fleet.kill(ring[i]);
+    }
+    fleet.run(Milliseconds(8000));
+    BOOST_TEST(fleet.wrongViews() == 0u);
+}
+
+// Guards against a pause of 2 s or lost datagrams that are taken for a death.
+BOOST_AUTO_TEST_CASE(fleetWithLossAndPausedMembersDeclaresNobodyGone)
+{
+    Fleet fleet(settings(10, 0.01));
+    fleet.run(Milliseconds(20000));
+    for (std::size_t round = 0; round < 120; ++round) {
+        fleet.pause(round * 7 % 10, Milliseconds(2000));
+        fleet.run(Milliseconds(5000));
+    }
+    BOOST_TEST(declarations(fleet) == 0u);
+    BOOST_TEST(fleet.wrongViews() == 0u);
+}
+
+// Guards against a process that was suspended for a minute and then declares everybody dead by its old timers.
+BOOST_AUTO_TEST_CASE(memberPausedForMinuteDeclaresNobodyGone)
+{
+    Fleet fleet(settings(10));
+    fleet.run(Milliseconds(20000));
+    fleet.pause(3, Milliseconds(60000));
+    fleet.run(Milliseconds(90000));
+    BOOST_TEST(fleet.core(3).counters().declaredGone == 0u);
+    BOOST_TEST(fleet.core(3).counters().clockGaps == 1u);
+    BOOST_TEST(fleet.wrongViews() == 0u);
+}
+
+// Guards against a clock that jumps in either direction while probes and suspicions are under way.
+BOOST_AUTO_TEST_CASE(memberWithJumpingClockDeclaresNobodyGone)
+{
+    Fleet fleet(settings(10, 0.01));
+    fleet.run(Milliseconds(20000));
+    for (int round = 0; round < 20; ++round) {
+        fleet.jumpClock(4, Milliseconds(round % 2 == 0 ? 7200000 : -3600000));
+        fleet.pause(5, Milliseconds(1500));
+        fleet.run(Milliseconds(3000));
+    }
+    BOOST_TEST(declarations(fleet) == 0u);
+    BOOST_TEST(fleet.core(4).counters().clockGaps == 20u);
+}
+
+// Guards against a process whose own network failed and that declares all others dead.
+BOOST_AUTO_TEST_CASE(memberCutOffFromAllKeepsItsLastView)
+{
+    Fleet fleet(settings(10));
+    fleet.run(Milliseconds(20000));
+    fleet.setCut([](std::size_t from, std::size_t to) { return from == 2 || to == 2; });
+    fleet.run(Milliseconds(60000));
+    BOOST_TEST(fleet.core(2).counters().declaredGone == 0u);
+    BOOST_TEST(fleet.core(2).memberTable().liveCount() == 10u);
+    BOOST_TEST(!fleet.knows(0, 2));
+    fleet.setCut(nullptr);
+    fleet.run(Milliseconds(20000));
+    BOOST_TEST(fleet.wrongViews() == 0u);
+}
+
+// Guards against a partition that leaves live members declared gone after it has healed.
+BOOST_AUTO_TEST_CASE(fleetWithHealedPartitionShowsAllMembersAgain)
+{
+    Fleet fleet(settings(12));
+    fleet.run(Milliseconds(20000));
+    fleet.setCut([](std::size_t from, std::size_t to) { return (from % 4 < 2) != (to % 4 < 2); });
+    fleet.run(Milliseconds(60000));
+    BOOST_TEST(!fleet.knows(0, 2));
+    BOOST_TEST(fleet.knows(0, 1));
+    fleet.setCut(nullptr);
+    fleet.run(Milliseconds(30000));
+    BOOST_TEST(fleet.wrongViews() == 0u);
+}
+
+// Guards against regions that declare each other dead while the link between them is down.
+BOOST_AUTO_TEST_CASE(fleetWithRegionCutOffKeepsItsLastViewAndMerges)
+{
+    FleetSettings twoRegions = settings(24);
+    twoRegions.regions = 2;
+    Fleet fleet(twoRegions);
+    fleet.run(Milliseconds(40000));
+    BOOST_TEST(fleet.wrongViews() == 0u);
+    fleet.setCut([&fleet](std::size_t from, std::size_t to) { return fleet.region(from) != fleet.region(to); });
+    fleet.kill(5);
+    fleet.run(Milliseconds(300000));
+    BOOST_TEST(declarations(fleet) > 0u);
+    BOOST_TEST(fleet.falseDeaths() == 0u);
+    BOOST_TEST(fleet.knows(0, 1));
+    BOOST_TEST(fleet.knows(0, 5));
+    BOOST_TEST(!fleet.knows(1, 5));
+    fleet.setCut(nullptr);
+    fleet.run(Milliseconds(20000));
+    BOOST_TEST(fleet.wrongViews() == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
