Send deaths in full number when many die at once

Cause: with more than 30 rumors the core sends each only three times and leaves the rest to anti-entropy. That is right for whole entries after a start, and wrong for deaths and drains, which are 24 bytes each.

Conclusion: only whole entries are reduced.

--- a/src/membership/membershipcore.cpp
+++ b/src/membership/membershipcore.cpp
@@ -119,10 +119,10 @@
     send(to, std::move(message), TrafficClass::Probe);
 }
 
-std::uint32_t MembershipCore::transmissions() const
+std::uint32_t MembershipCore::transmissions(bool changeOnly) const
 {
     // While very many entries change at once, as when all balancers start, anti-entropy moves them in fewer bytes.
-    if (rumors_.size() > RumorQueue::Few) {
+    if (!changeOnly && rumors_.size() > RumorQueue::Few) {
         return SpreadFanout;
     }
     // Each process sends a rumor this often; e^-6 of the processes miss it and are repaired by anti-entropy.
@@ -140,7 +140,7 @@
         rumor.traffic = TrafficClass::Urgent;
     }
     // Two more divide the number of balancers that miss a drain, and wait for anti-entropy, by e^2.
-    rumor.transmissions = transmissions() + (changeOnly ? 2 : 0);
+    rumor.transmissions = transmissions(changeOnly) + (changeOnly ? 2 : 0);
     rumor.remoteTransmissions = members_.isBridge() && !members_.otherRegions().empty() ? RemoteTransmissions : 0;
     rumors_.add(rumor);
 }
--- a/src/membership/membershipcore.h
+++ b/src/membership/membershipcore.h
@@ -155,7 +155,7 @@
     void answerService(const PeerAddress &to, ServiceId service);
 
     void spread(bool target, std::uint64_t id, bool changeOnly);
-    std::uint32_t transmissions() const;
+    std::uint32_t transmissions(bool changeOnly) const;
     wire::Gossip collect(const std::vector<Rumor> &rumors, std::size_t &next, std::size_t limit) const;
     void flushRumors();
     void flushRemote();
--- a/src/membership/membershipcoreevents.cpp
+++ b/src/membership/membershipcoreevents.cpp
@@ -320,7 +320,7 @@
     }
     revision_ = revision.value();
     configurationDigest_ = digest;
-    configurationTransmissions_ = transmissions();
+    configurationTransmissions_ = transmissions(true);
     configurationRemote_ = 4;
     inForce_.setOwnRevision(revision_);
 }
