--- a/src/daemon/agentdaemon.cpp
+++ b/src/daemon/agentdaemon.cpp
@@ -122,7 +122,9 @@
     if (counters.wrongService != std::exchange(loggedWrongService_, counters.wrongService)) {
         limitedLog_.log(now, LogLevel::Warn, "wrongService", {{"packets", std::to_string(counters.wrongService)}});
     }
-    if (!terminating_ || !core_.isDrained(now)) {
+    // A target that no rule ever bound has nothing to drain; and the deadline holds whatever the state is.
+    const bool unused = !core_.service() && core_.flows().size() == 0;
+    if (!stopAt_ || !(unused || core_.isDrained(now) || now >= *stopAt_)) {
         return;
     }
     if (!drainedAt_) {
@@ -137,11 +139,12 @@
 
 void AgentDaemon::terminate()
 {
-    if (std::exchange(terminating_, true)) {
+    if (stopAt_) {
         return;
     }
     const Timestamp now = loop_.now();
-    core_.beginDrain(now, now + settings_.shutdownDeadline);
+    stopAt_ = now + settings_.shutdownDeadline;
+    core_.beginDrain(now, *stopAt_);
     logEvent(LogLevel::Info,
              "draining",
              {{"openFlows", std::to_string(core_.flows().size())},
--- a/src/daemon/agentdaemon.h
+++ b/src/daemon/agentdaemon.h
@@ -52,7 +52,8 @@
     AgentCore core_;
     LimitedLog limitedLog_;
     DurationSummary rounds_;
-    bool terminating_ = false;
+    /** The deadline of a graceful stop; absent before SIGTERM. */
+    std::optional<Timestamp> stopAt_;
     bool performing_ = false;
     std::optional<Timestamp> drainedAt_;
     std::unique_ptr<StatusServer> http_;
--- a/src/standins/callerstandin.cpp
+++ b/src/standins/callerstandin.cpp
@@ -21,6 +21,7 @@
 constexpr Milliseconds AliveInterval(500);
 // Bounds the rate at which refused long flows are tried again.
 constexpr Milliseconds ReopenInterval(20);
+constexpr Milliseconds CloseTime(3000);
 constexpr int NotRunCode = 13;
 
 struct CounterName {
@@ -169,6 +170,10 @@
     if (flow.tcp) {
         flow.tcp->tick(now);
     }
+    if (flow.id.empty()) {
+        tickEnded(now, flow);
+        return;
+    }
     const Milliseconds timeout(settings_.timeoutMs);
     if (now - flow.lastAnswer >= timeout) {
         end(flow, flow.answered ? &CallerCounters::broken : &CallerCounters::unanswered, "timeout");
@@ -187,6 +192,16 @@
     }
 }
 
+void CallerStandin::tickEnded(Timestamp now, const Flow &flow)
+{
+    // The peer's last segments must not reach the next flow on this port.
+    const bool closing = flow.tcp && flow.tcp->state() != TcpEndpoint::State::Finished
+        && flow.tcp->state() != TcpEndpoint::State::Reset && now - flow.ended < CloseTime;
+    if (!closing) {
+        ended_.push_back(flow.port);
+    }
+}
+
 void CallerStandin::tickStream(Timestamp now, Flow &flow)
 {
     if (!flow.answered) {
@@ -233,11 +248,17 @@
         return;
     }
     const auto found = flows_.find(answer->callerPort);
-    if (found == flows_.end() || found->second.id.empty()) {
+    if (found == flows_.end()) {
         return;
     }
     Flow &flow = found->second;
     const Timestamp now = clock_.now();
+    if (flow.id.empty()) {
+        if (flow.tcp) {
+            flow.tcp->handlePacket(now, packet);
+        }
+        return;
+    }
     if (answer->serviceAddress != settings_.serviceAddress.address
         || answer->servicePort != settings_.serviceAddress.port) {
         ++counters_.crossed;
@@ -349,9 +370,12 @@
         log_ << name->name << " " << flow.id << " port=" << flow.port << " reason=" << reason
              << " afterMs=" << (clock_.now() - flow.opened).count() << std::endl;
     }
-    ended_.push_back(flow.port);
-    // Erased on the next tick; without an id it takes no more answers.
+    // Without an id it takes no more answers; it is erased on a later tick.
     flow.id.clear();
+    flow.ended = clock_.now();
+    if (flow.tcp) {
+        flow.tcp->close(flow.ended);
+    }
 }
 
 bool CallerStandin::isLong() const
--- a/src/standins/callerstandin.h
+++ b/src/standins/callerstandin.h
@@ -101,6 +101,7 @@
         Timestamp opened;
         Timestamp lastSent;
         Timestamp lastAnswer;
+        Timestamp ended;
         bool answered = false;
         /** Next sequence number of a stream's data or of an upload's chunk. */
         std::int64_t next = 0;
@@ -115,6 +116,7 @@
     void openFlow(Timestamp now);
     void openTcp(Timestamp now, Flow &flow);
     void tickFlow(Timestamp now, Flow &flow);
+    void tickEnded(Timestamp now, const Flow &flow);
     void tickStream(Timestamp now, Flow &flow);
     void tickUpload(Timestamp now, Flow &flow);
     void send(Timestamp now, Flow &flow, const StandinMessage &message);
--- a/src/standins/tcpendpoint.cpp
+++ b/src/standins/tcpendpoint.cpp
@@ -45,7 +45,8 @@
 void TcpEndpoint::open(Timestamp now)
 {
     state_ = State::Opening;
-    queueSegment(now, {Tins::TCP::SYN, {}});
+    segments_.push_front({Tins::TCP::SYN, {}});
+    sendFirst(now);
 }
 
 void TcpEndpoint::write(Timestamp now, std::string_view bytes)
@@ -78,8 +79,7 @@
         if (!std::exchange(synReceived_, true)) {
             receiveNext_ = info->sequence + 1;
             if (state_ == State::Closed) {
-                state_ = State::Opening;
-                queueSegment(now, {Tins::TCP::SYN, {}});
+                open(now);
             }
         }
         if (info->ack) {
@@ -116,7 +116,7 @@
 
 void TcpEndpoint::tick(Timestamp now)
 {
-    if (!segments_.empty() && now - sentAt_ >= RepeatAfter) {
+    if (state_ != State::Closed && !segments_.empty() && now - sentAt_ >= RepeatAfter) {
         sendFirst(now);
     }
 }
@@ -133,7 +133,8 @@
         return;
     }
     segments_.push_back(std::move(segment));
-    if (segments_.size() == 1) {
+    // Before the SYN nothing may be sent.
+    if (segments_.size() == 1 && state_ != State::Closed) {
         sendFirst(now);
     }
 }
