--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -49,7 +49,7 @@
     start "balancer-$1" "$daemon" balancer --name="balancer-$1" --listen="$(address $((10 + $1)))" \
         --fabric-listen="$(address $((20 + $1)))" --http="$(address $((30 + $1)))" \
         --peer-listen="$(address $((40 + $1)))" --balancers="$balancers" --key-file="$run/key" \
-        --configuration="$run/configuration"
+        --store="$(address 50)" --api-key-file="$run/apikey"
     balancer[$1]=$started
 }
 
@@ -86,23 +86,37 @@
 duration=30000
 balancers="$(address 10),$(address 11),$(address 12),$(address 13)"
 head -c 32 /dev/urandom >"$run/key"
-service() { # NAME ADDRESS PORT KIND AT_MOST_ONCE
-    echo "\"$1\": {\"address\": \"$2\", \"port\": $3, \"kind\": \"$4\", \"atMostOnce\": $5, \"idleTimeoutMs\": 10000}"
+# http PORT METHOD PATH BODY: prints the answer; fails unless it is 2xx.
+http() {
+    local answer
+    exec 3<>"/dev/tcp/127.0.0.1/$((base + $1))"
+    printf '%s %s HTTP/1.1\r\nHost: demo\r\nConnection: close\r\nAuthorization: Bearer %s\r\nContent-Length: %s\r\n\r\n%s' \
+        "$2" "$3" "$(cat "$run/apikey")" "${#4}" "$4" >&3
+    answer=$(timeout 10 cat <&3 || true)
+    exec 3>&-
+    [[ $answer == "HTTP/1.1 2"* ]] || { echo "$2 $3: $answer" >&2; return 1; }
+    printf '%s\n' "$answer"
 }
-rule() { echo "\"$1\": {\"service\": \"$1\", \"selector\": {\"labels\": {\"app\": \"$1\"}}}"; }
-cat >"$run/configuration" <<JSON
-{"services": {$(service readings 10.100.0.1 5000 stream false),
-              $(service archive 10.100.0.2 5001 stream false),
-              $(service booking-desk 10.101.0.1 6000 request true),
-              $(service log-intake 10.101.0.2 6001 stream true)},
- "rules": {$(rule readings), $(rule archive), $(rule booking-desk), $(rule log-intake)}}
-JSON
+
+# declare_service NAME ADDRESS PORT KIND AT_MOST_ONCE
+declare_service() {
+    http 30 PUT "/v1/services/$1" "{\"spec\": {\"address\": \"$2\", \"port\": $3, \"kind\": \"$4\",
+        \"atMostOnce\": $5, \"idleTimeoutMs\": 10000}}" >/dev/null
+    http 31 PUT "/v1/rules/$1" "{\"spec\": {\"service\": \"$1\", \"selector\": {\"labels\": {\"app\": \"$1\"}}}}" >/dev/null
+}
+echo demo-operators-key >"$run/apikey"
 
 begin=$(($(date +%s%N) / 1000000))
 start fabric "$standin" fabric --callers-listen="$(address 0)" --answers-listen="$(address 1)" \
     --control-listen="$(address 2)" --balancers="$(address 20),$(address 21),$(address 22)"
 start store "$standin" store --listen="$(address 50)"
+sleep 0.5
 for i in 0 1 2; do start_balancer "$i"; done
+sleep 1.5
+declare_service readings 10.100.0.1 5000 stream false
+declare_service archive 10.100.0.2 5001 stream false
+declare_service booking-desk 10.101.0.1 6000 request true
+declare_service log-intake 10.101.0.2 6001 stream true
 start_service readings 100 4 1 1 2 2 4 4 8
 start_service archive 120 4 1 2 4 8
 start_service booking-desk 140 2 1 1 2 2 4 4 8
@@ -119,14 +133,22 @@
 sleep 0.3
 fabric remove 2
 sleep 3
-say "add balancer-3"
+say "take the store away"
+http 50 POST /standin/faults '{"away": "refuse"}' >/dev/null
+say "add balancer-3 without the store"
 start_balancer 3
 sleep 2
 fabric add 3
 sleep 2
-say "stop agent of readings-7 gracefully"
-kill -TERM "${agent[readings-7]}"
+say "bring the store back"
+http 50 POST /standin/faults '{"away": "no"}' >/dev/null
 sleep 2
+say "drain readings-7 by the API"
+http 31 PUT /v1/drains/readings-7 '{"spec": {"deadlineMs": 60000}}' >/dev/null
+sleep 1
+say "change the configuration: a fifth service"
+declare_service notices 10.100.0.3 5002 request false
+sleep 1
 say "stop agent of booking-desk-3 gracefully"
 kill -TERM "${agent[booking-desk-3]}"
 await "${agent[booking-desk-3]}" 10 || say "agent of booking-desk-3 still runs"
