Keep the key of the seal set up between datagrams

Cause: the profile of rhubarblane_measure_forwarding showed locks and allocations of the one-shot HMAC(), which looks up the algorithm and sets the key up for each datagram.

--- a/src/wire/datagramseal.cpp
+++ b/src/wire/datagramseal.cpp
@@ -1,8 +1,11 @@
 #include "wire/datagramseal.h"
 
+#include "base/invariant.h"
+
+#include <openssl/core_names.h>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
+#include <openssl/params.h>
 
 #include <array>
 #include <cstring>
@@ -20,9 +23,11 @@
 
 void putWord(std::string &out, std::uint64_t word)
 {
-    for (int shift = 0; shift < 64; shift += 8) {
-        out.push_back(static_cast<char>((word >> shift) & 0xff));
+    std::array<char, WordBytes> bytes {};
+    for (std::size_t i = 0; i < WordBytes; ++i) {
+        bytes[i] = static_cast<char>((word >> (8 * i)) & 0xff);
     }
+    out.append(bytes.data(), bytes.size());
 }
 
 std::uint64_t getWord(std::string_view in, std::size_t offset)
@@ -36,31 +41,42 @@
 
 } // namespace
 
-DatagramSeal::DatagramSeal(std::string key, std::uint64_t sender, Incarnation incarnation)
-    : key_(std::move(key))
-    , sender_(sender)
+void DatagramSeal::MacDeleter::operator()(EVP_MAC_CTX *context) const
+{
+    EVP_MAC_CTX_free(context);
+}
+
+DatagramSeal::DatagramSeal(const std::string &key, std::uint64_t sender, Incarnation incarnation)
+    : sender_(sender)
     , incarnation_(incarnation)
 {
+    EVP_MAC *algorithm = EVP_MAC_fetch(nullptr, "HMAC", nullptr);
+    mac_.reset(EVP_MAC_CTX_new(algorithm));
+    EVP_MAC_free(algorithm);
+    std::string digest = "SHA256";
+    const std::array<OSSL_PARAM, 2> parameters {
+        OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, digest.data(), 0), OSSL_PARAM_construct_end()};
+    const int ready =
+        EVP_MAC_init(mac_.get(), reinterpret_cast<const unsigned char *>(key.data()), key.size(), parameters.data());
+    RHUBARBLANE_INVARIANT(ready == 1, "libcrypto has HMAC-SHA-256");
 }
 
 void DatagramSeal::computeTag(std::string_view body, unsigned char *tag) const
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
-    unsigned int length = 0;
-    HMAC(EVP_sha256(),
-         key_.data(),
-         static_cast<int>(key_.size()),
-         reinterpret_cast<const unsigned char *>(body.data()),
-         body.size(),
-         digest.data(),
-         &length);
+    std::size_t length = 0;
+    const bool done = EVP_MAC_init(mac_.get(), nullptr, 0, nullptr) == 1
+        && EVP_MAC_update(mac_.get(), reinterpret_cast<const unsigned char *>(body.data()), body.size()) == 1
+        && EVP_MAC_final(mac_.get(), digest.data(), &length, digest.size()) == 1;
+    RHUBARBLANE_INVARIANT(done && length >= TagBytes, "HMAC-SHA-256 gives a tag");
     std::memcpy(tag, digest.data(), TagBytes);
 }
 
 std::string DatagramSeal::seal(std::string_view payload)
 {
-    std::string datagram(TagBytes, '\0');
+    std::string datagram;
     datagram.reserve(HeaderBytes + payload.size());
+    datagram.resize(TagBytes);
     putWord(datagram, sender_);
     putWord(datagram, incarnation_.value());
     putWord(datagram, ++sequence_);
--- a/src/wire/datagramseal.h
+++ b/src/wire/datagramseal.h
@@ -3,8 +3,11 @@
 
 #include "base/ids.h"
 
+#include <openssl/evp.h>
+
 #include <bitset>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -25,7 +28,7 @@
 {
 public:
     /** `sender` names this process in its datagrams. `key` must have at least 16 bytes. */
-    DatagramSeal(std::string key, std::uint64_t sender, Incarnation incarnation);
+    DatagramSeal(const std::string &key, std::uint64_t sender, Incarnation incarnation);
 
     /** Returns the datagram for `payload`. */
     std::string seal(std::string_view payload);
@@ -42,10 +45,15 @@
         std::bitset<WindowBits> seen;
     };
 
+    struct MacDeleter {
+        void operator()(EVP_MAC_CTX *context) const;
+    };
+
     void computeTag(std::string_view body, unsigned char *tag) const;
     static bool accept(Window &window, std::uint64_t sequence);
 
-    std::string key_;
+    // Holds the key. Setting the key up for each datagram costs more than the hash of a small one.
+    std::unique_ptr<EVP_MAC_CTX, MacDeleter> mac_;
     std::uint64_t sender_;
     Incarnation incarnation_;
     std::uint64_t sequence_ = 0;
