--- a/src/tests/pathfixture.h
+++ b/src/tests/pathfixture.h
@@ -42,6 +42,12 @@
         wire::Envelope message;
     };
     struct Agent {
+        explicit Agent(const AgentSettings &settings)
+            : name(settings.name)
+            , core(settings)
+        {
+        }
+
         std::string name;
         AgentCore core;
         std::string lastState;
@@ -72,7 +78,7 @@
             settings.balancers = {addressOf(100), addressOf(101), addressOf(102)};
             settings.labels = {{"app", "readings"}};
             settings.slots = 8;
-            agents[settings.address] = std::make_unique<Agent>(Agent {settings.name, AgentCore(settings), {}});
+            agents[settings.address] = std::make_unique<Agent>(settings);
         }
     }
 
