--- a/src/agent/ownedflows.cpp
+++ b/src/agent/ownedflows.cpp
@@ -17,14 +17,14 @@
 
 OwnedFlows::OwnedFlows(AgentContext &context)
     : context_(context)
-    , admission_(context.settings)
+    , queueLimit_(context.settings.queueLimit)
 {
 }
 
 void OwnedFlows::configure(const wire::ServiceSettings &service)
 {
     halfOpen_.configure(service.max_flows_per_client(), service.priority());
-    admission_.queueLimit = shareOfPriority(context_.settings.queueLimit, service.priority());
+    queueLimit_ = shareOfPriority(context_.settings.queueLimit, service.priority());
 }
 
 void OwnedFlows::handle(Timestamp now, wire::Place &&message)
@@ -67,7 +67,7 @@
         return;
     }
     const bool canAccept = !context_.group.isSuperseded()
-        && context_.placement.canAccept(context_.group.self(), context_.load(), admission_.queueLimit)
+        && context_.placement.canAccept(context_.group.self(), context_.load(), queueLimit_)
         && context_.ended.size() < context_.settings.flowLimit;
     const bool takes = canAccept && (message.final() || context_.placement.hasFreeSlot(context_.load()));
     const bool isTcp = flow.protocol == Protocol::Tcp;
--- a/src/agent/ownedflows.h
+++ b/src/agent/ownedflows.h
@@ -66,7 +66,8 @@
     PlaceLog placeLog_;
     SilenceMonitor silence_;
     AdmissionLimits halfOpen_;
-    AgentSettings admission_;
+    /** Requests that may wait, by the priority of the service. */
+    std::uint32_t queueLimit_;
     /** Flow and fingerprint of flows that ended since the last collection. */
     std::vector<std::pair<FlowTuple, std::uint64_t>> endedLately_;
     std::vector<FlowTuple> acceptedForeign_;
--- a/src/tests/agentcoretest.cpp
+++ b/src/tests/agentcoretest.cpp
@@ -81,7 +81,7 @@
     isLost = [](const Datagram &datagram) { return datagram.message.has_place(); };
     std::uint16_t port = 2000;
     while (homeOf(flow(port)) != 0
-           || Placement::candidatesFor(flowHashOf(flow(port)), agent(0).roster()).front()
+           || candidatesFor(flow(port), agent(0).roster()).front()
                == agent(0).roster().homeOf(flowHashOf(flow(port)))) {
         ++port;
     }
--- a/src/tests/agentharness.h
+++ b/src/tests/agentharness.h
@@ -152,6 +152,11 @@
         run(2000);
     }
 
+    static std::vector<TargetId> candidatesFor(const FlowTuple &tuple, const GroupRoster &roster)
+    {
+        return Placement(AgentSettings()).candidatesFor(flowHashOf(tuple), roster);
+    }
+
     AgentCore &agent(std::size_t index)
     {
         return *agents[index];
--- a/src/tests/agentlosstest.cpp
+++ b/src/tests/agentlosstest.cpp
@@ -24,7 +24,7 @@
 
     std::size_t firstCandidate(const FlowTuple &tuple)
     {
-        return indexOf(Placement::candidatesFor(flowHashOf(tuple), agent(0).roster()).front());
+        return indexOf(candidatesFor(tuple, agent(0).roster()).front());
     }
 
     void open(const FlowTuple &tuple)
