State that all control hooks must be set

An unset hook throws on a control thread and ends the process, and the header did not say so. It also named control threads only, while HTTP handlers call hooks from the threads of cpprestsdk.

--- a/src/control/controlsettings.h
+++ b/src/control/controlsettings.h
@@ -41,7 +41,8 @@
     std::string region = {};
 };
 
-/** How the control server reaches the rest of its process. All are called from control threads; none may block long. */
+/** How the control server reaches the rest of its process. All must be set; none may block long. Called on any thread.
+ */
 struct ControlHooks {
     /** A configuration with a higher revision than any before it is known. */
     std::function<void(const Configuration &)> applyConfiguration;
