--- a/src/agent/agentcounters.h
+++ b/src/agent/agentcounters.h
@@ -35,6 +35,8 @@
     std::uint64_t registered = 0;
     /** Flows given up because their home had given them up or to another owner. */
     std::uint64_t rejectedByHome = 0;
+    /** Placements by members that are not the flow's home by this agent's roster. */
+    std::uint64_t staleHome = 0;
 };
 
 } // namespace rhubarblane
--- a/src/agent/flowtable.h
+++ b/src/agent/flowtable.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace rhubarblane
 {
@@ -41,6 +42,8 @@
     FlowNumber number;
     /** Of the opening packet. */
     std::uint64_t fingerprint = 0;
+    /** Of the latest UDP packets after the opening one, oldest first; kept where a copy would run a request twice. */
+    std::vector<std::uint64_t> recentFingerprints;
     Timestamp opened;
     Timestamp lastFromCaller;
     Timestamp lastFromTarget;
--- a/src/agent/ownedflows.cpp
+++ b/src/agent/ownedflows.cpp
@@ -12,6 +12,8 @@
 constexpr Milliseconds DefaultIdleTimeout(60000);
 // Both sides have sent FIN: long enough for repeated segments of the closing handshake.
 constexpr Milliseconds ClosedLinger(2000);
+// A caller has few requests under way on one port.
+constexpr std::size_t RecentPackets = 8;
 
 } // namespace
 
@@ -56,6 +58,12 @@
         }
         return;
     }
+    if (context_.group.homeOf(flowHashOf(flow)) != home.target) {
+        // This agent may have told the flow's present home that all its flows are registered; the sender asks again
+        // after it has the same roster.
+        ++context_.counters.staleHome;
+        return;
+    }
     const PlaceLog::Stage stage = message.final() ? PlaceLog::Stage::Final : PlaceLog::Stage::Offered;
     if (placeLog_.isNoted(flow, home, message.attempt(), stage)) {
         ++context_.counters.droppedCopies;
@@ -123,11 +131,7 @@
     std::string packet = std::move(*message.mutable_forward()->mutable_packet());
     FlowRecord &record = context_.flows.insert(flow, now);
     record.fingerprint = fingerprintOf(flow.protocol, packet);
-    if (context_.group.homeOf(flowHashOf(flow)) == TargetId(message.home())) {
-        record.registeredHome = MemberKey {TargetId(message.home()), message.home_incarnation()};
-    } else {
-        acceptedForeign_.push_back(flow);
-    }
+    record.registeredHome = MemberKey {TargetId(message.home()), message.home_incarnation()};
     record.halfOpen = flow.protocol == Protocol::Tcp;
     ++context_.counters.accepted;
     setActive(now, record, context_.service->request_kind());
@@ -144,8 +148,7 @@
 {
     const bool isTcp = record.flow.protocol == Protocol::Tcp;
     // TCP handles copies end to end; a copy of a UDP request would run it twice.
-    if (!isTcp && context_.isAtMostOnce() && now - record.opened < MajorityLease + PacketLifetime
-        && fingerprintOf(record.flow.protocol, packet) == record.fingerprint) {
+    if (!isTcp && context_.isAtMostOnce() && isCopy(record, packet)) {
         ++context_.counters.droppedCopies;
         return;
     }
@@ -234,10 +237,13 @@
     setActive(now, record, false);
     established(record);
     context_.actions.emplace_back(CloseFlow {flow, record.number});
-    context_.ended.add(now, EndedFlow {flow, record.fingerprint, context_.selfKey(), number, now, std::nullopt});
-    const std::uint64_t fingerprint = record.fingerprint;
+    std::vector<std::uint64_t> fingerprints = std::move(record.recentFingerprints);
+    fingerprints.push_back(record.fingerprint);
+    for (const std::uint64_t fingerprint : fingerprints) {
+        context_.ended.add(now, EndedFlow {flow, fingerprint, context_.selfKey(), number, now, std::nullopt});
+        endedLately_.emplace_back(flow, fingerprint);
+    }
     context_.flows.erase(flow);
-    endedLately_.emplace_back(flow, fingerprint);
     sendEnd(flow, context_.id(), number);
     const std::optional<TargetId> home = context_.group.homeOf(flowHashOf(flow));
     if (home && *home != context_.id()) {
@@ -293,7 +299,6 @@
         registrations.add(*home, std::move(fact));
     });
     endedLately_.clear();
-    acceptedForeign_.clear();
 }
 
 void OwnedFlows::collectLately(Timestamp now, Registrations &registrations)
@@ -310,15 +315,6 @@
         registrations.add(*key, std::move(fact));
     }
     endedLately_.clear();
-    for (const FlowTuple &flow : acceptedForeign_) {
-        const FlowRecord *record = context_.flows.find(flow);
-        const std::optional<TargetId> home = context_.group.homeOf(flowHashOf(flow));
-        const std::optional<MemberKey> key = home ? context_.memberKey(*home) : std::nullopt;
-        if (record != nullptr && key && *key != context_.selfKey()) {
-            registrations.add(*key, factOf(flow, record->number.value(), record->fingerprint));
-        }
-    }
-    acceptedForeign_.clear();
 }
 
 void OwnedFlows::markRegistered(const wire::Registration &fact, const MemberKey &home)
@@ -367,6 +363,20 @@
     }
 }
 
+bool OwnedFlows::isCopy(FlowRecord &record, const std::string &packet) const
+{
+    const std::uint64_t fingerprint = fingerprintOf(record.flow.protocol, packet);
+    std::vector<std::uint64_t> &recent = record.recentFingerprints;
+    if (fingerprint == record.fingerprint || std::find(recent.begin(), recent.end(), fingerprint) != recent.end()) {
+        return true;
+    }
+    if (recent.size() >= RecentPackets) {
+        recent.erase(recent.begin());
+    }
+    recent.push_back(fingerprint);
+    return false;
+}
+
 void OwnedFlows::noteClosing(Timestamp now, FlowRecord &record)
 {
     if (record.finFromCaller && record.finFromTarget && !record.closing) {
--- a/src/agent/ownedflows.h
+++ b/src/agent/ownedflows.h
@@ -45,7 +45,7 @@
 
     void markRegistered(const wire::Registration &fact, const MemberKey &home);
 
-    /** Queues flows that ended lately, and those accepted from a member that is not their home by this roster. */
+    /** Queues flows that ended lately. */
     void collectLately(Timestamp now, Registrations &registrations);
 
     void configure(const wire::ServiceSettings &service);
@@ -59,6 +59,8 @@
     void sendEnd(const FlowTuple &flow, TargetId home, std::uint64_t number);
     void setActive(Timestamp now, FlowRecord &record, bool active);
     void established(FlowRecord &record);
+    /** Notes a UDP request. Returns true if it is a copy of an earlier one. */
+    bool isCopy(FlowRecord &record, const std::string &packet) const;
     void noteClosing(Timestamp now, FlowRecord &record);
     wire::Registration factOf(const FlowTuple &flow, std::uint64_t number, std::uint64_t fingerprint) const;
 
@@ -70,7 +72,6 @@
     std::uint32_t queueLimit_;
     /** Flow and fingerprint of flows that ended since the last collection. */
     std::vector<std::pair<FlowTuple, std::uint64_t>> endedLately_;
-    std::vector<FlowTuple> acceptedForeign_;
     /** Flows that both sides have closed, in the order in which they were. */
     std::deque<std::pair<Timestamp, std::pair<FlowTuple, FlowNumber>>> closing_;
 };
