--- a/src/agent/ownedflows.cpp
+++ b/src/agent/ownedflows.cpp
@@ -74,14 +74,10 @@
         ++context_.counters.malformed;
         return;
     }
-    if (message.final()) {
-        context_.placement.offerTaken();
-    }
     const bool canAccept = !context_.group.isSuperseded()
-        && context_.placement.canAccept(context_.group.self(), context_.load())
-        && context_.activeFlows < context_.settings.slots + queueLimit_
+        && context_.placement.canAccept(context_.group.self(), context_.load(), queueLimit_)
         && context_.ended.size() < context_.settings.flowLimit;
-    const bool takes = canAccept && (message.final() || context_.placement.acceptsAtOnce(context_.load()));
+    const bool takes = canAccept && (message.final() || context_.placement.hasFreeSlot(context_.load()));
     const bool isTcp = flow.protocol == Protocol::Tcp;
     if (takes && (!isTcp || halfOpen_.tryOpen(flow.callerAddress))) {
         accept(now, flow, message);
@@ -95,10 +91,9 @@
     }
     if (canAccept && !takes) {
         const std::uint64_t wait = context_.placement.expectedWait(context_.load());
-        if (context_.placement.isBetterOffer(message, wait)) {
+        if (!message.has_best() || wait < message.best().expected_wait_ms()) {
             message.mutable_best()->set_target(context_.id().value());
             message.mutable_best()->set_expected_wait_ms(wait);
-            context_.placement.offerMade(now);
         }
     }
     passOn(now, std::move(message));
@@ -188,9 +183,6 @@
     silence_.fromTarget(now, record, peek);
     context_.actions.emplace_back(SendToCaller {std::move(packet)});
     if (!isTcp || peek.fin) {
-        if (record.active) {
-            context_.placement.requestCompleted();
-        }
         setActive(now, record, false);
     }
     if (peek.reset) {
@@ -418,6 +410,9 @@
     }
     record.active = active;
     context_.activeFlows += active ? 1 : -1;
+    if (!active && record.answered) {
+        context_.placement.requestCompleted();
+    }
     context_.placement.activeChanged(now, context_.activeFlows);
 }
 
