--- a/src/agent/agentcontext.h
+++ b/src/agent/agentcontext.h
@@ -65,11 +65,11 @@
 
     AgentSettings settings;
     GroupView group;
+    Placement placement;
     std::optional<wire::ServiceSettings> service;
     FlowTable flows;
     EndedFlows ended;
     std::uint32_t activeFlows = 0;
-    Placement placement;
     AgentCounters counters;
     std::vector<AgentAction> actions;
     /** Messages of this agent to itself; handled before the event returns. */
--- a/src/agent/agentsettings.h
+++ b/src/agent/agentsettings.h
@@ -19,24 +19,11 @@
     /** Learn the capacity from completed requests; otherwise the declared one is used. */
     bool learnsCapacity = true;
     Milliseconds halfLife = Milliseconds(3000);
-    /** A busy target accepts at once if the expected wait is not longer than this. */
-    double acceptedWaitMs = 0.0;
-    /** What one more hand-on costs a flow. */
-    std::uint64_t handOnCostMs = 0;
-    /** The weight falls by this factor's exponential per share of the slots in use; 0 is no correction. */
+    /** The weight falls by this factor's exponential per share of the slots in use; at 20 the weights oscillate. */
     double correction = 5.0;
-    /** Standard deviations of the wait that an offer adds to its mean. */
-    double deviations = 0.0;
-    /** Queue places that an offer counts for until it is taken or its lifetime ends. */
-    double offerWeight = 0.0;
-    Milliseconds offerLifetime = Milliseconds(5);
-    /** Ask targets of one availability zone one after the other. */
-    bool groupsByZone = false;
+    Milliseconds shareHalfLife = Milliseconds(1000);
     /** Smallest relative change of the weight that is announced. */
     double hysteresis = 0.05;
-    /** Largest factor by which the weight changes in one update. */
-    double maximumStep = 1000.0;
-    Milliseconds shareHalfLife = Milliseconds(1000);
 };
 
 /** What an agent core is told at start. */
--- a/src/agent/placement.cpp
+++ b/src/agent/placement.cpp
@@ -20,65 +20,38 @@
     return std::exp2(-static_cast<double>(interval.count()) / static_cast<double>(halfLife.count()));
 }
 
-/** Keeps the first candidate; of the others, those in the availability zone of their predecessor come first. */
-void groupByZone(const GroupRoster &roster, std::vector<TargetId> &ranked)
-{
-    const auto zoneOf = [&roster](TargetId target) { return roster.find(target)->availability_zone(); };
-    for (std::size_t i = 1; i < ranked.size(); ++i) {
-        const std::string zone = zoneOf(ranked[i - 1]);
-        const auto rest = ranked.begin() + static_cast<std::ptrdiff_t>(i);
-        std::stable_partition(rest, ranked.end(), [&](TargetId target) { return zoneOf(target) == zone; });
-    }
-}
-
 } // namespace
 
 Placement::Placement(const AgentSettings &settings)
     : settings_(settings.placement)
     , slots_(settings.slots)
-    , queueLimit_(settings.queueLimit)
     , flowLimit_(settings.flowLimit)
     , capacityMilli_(settings.capacityMilli)
     , weightMilli_(settings.capacityMilli)
 {
 }
 
-bool Placement::canAccept(const wire::TargetEntry &self, const LocalLoad &load) const
+bool Placement::canAccept(const wire::TargetEntry &self, const LocalLoad &load, std::uint32_t queueLimit) const
 {
-    return self.state() == wire::SERVING && load.openFlows < flowLimit_ && load.activeFlows < slots_ + queueLimit_;
+    return self.state() == wire::SERVING && load.openFlows < flowLimit_ && load.activeFlows < slots_ + queueLimit;
 }
 
-bool Placement::acceptsAtOnce(const LocalLoad &load) const
+bool Placement::hasFreeSlot(const LocalLoad &load) const
 {
-    return load.activeFlows < slots_ || slotWait(load) <= settings_.acceptedWaitMs;
-}
-
-bool Placement::isBetterOffer(const wire::Place &place, std::uint64_t wait) const
-{
-    if (!place.has_best()) {
-        return true;
-    }
-    // Going back to an earlier candidate costs another hand-on; staying at the last one does not.
-    const bool isLast = place.candidates_size() == 1;
-    return wait < place.best().expected_wait_ms() + (isLast ? settings_.handOnCostMs : 0);
+    return load.activeFlows < slots_;
 }
 
 std::uint64_t Placement::expectedWait(const LocalLoad &load) const
 {
-    return static_cast<std::uint64_t>(std::llround(slotWait(load)));
-}
-
-double Placement::slotWait(const LocalLoad &load) const
-{
-    if (load.activeFlows < slots_) {
-        return 0.0;
+    if (hasFreeSlot(load)) {
+        return 0;
     }
-    const double queued = load.activeFlows - slots_ + 1 + settings_.offerWeight * static_cast<double>(offers_.size());
-    const double completionMs = 1000000.0 / (static_cast<double>(slots_) * capacityMilli_);
-    return (queued + settings_.deviations * std::sqrt(queued)) * completionMs;
+    const double queued = load.activeFlows - slots_ + 1;
+    return static_cast<std::uint64_t>(
+        std::llround(queued * 1000000.0 / (static_cast<double>(slots_) * capacityMilli_)));
 }
 
-std::vector<TargetId> Placement::candidatesFor(FlowHash flow, const GroupRoster &roster) const
+std::vector<TargetId> Placement::candidatesFor(FlowHash flow, const GroupRoster &roster, std::size_t count)
 {
     std::vector<WeightedTarget> targets;
     for (const wire::TargetEntry &entry : roster.entries()) {
@@ -86,11 +59,7 @@
             targets.push_back({TargetId(entry.target()), static_cast<double>(entry.capacity_milli()) * entry.slots()});
         }
     }
-    std::vector<TargetId> ranked = rankByRendezvous(flow, targets, settings_.candidates);
-    if (settings_.groupsByZone) {
-        groupByZone(roster, ranked);
-    }
-    return ranked;
+    return rankByRendezvous(flow, targets, count);
 }
 
 void Placement::activeChanged(Timestamp now, std::uint32_t activeFlows)
@@ -99,45 +68,26 @@
     activeFlows_ = activeFlows;
 }
 
-void Placement::offerMade(Timestamp now)
-{
-    while (!offers_.empty() && offers_.front() <= now) {
-        offers_.pop_front();
-    }
-    if (settings_.offerWeight > 0.0) {
-        offers_.push_back(now + settings_.offerLifetime);
-    }
-}
-
-void Placement::offerTaken()
-{
-    if (!offers_.empty()) {
-        offers_.pop_front();
-    }
-}
-
 void Placement::requestCompleted()
 {
     completed_ += 1.0;
 }
 
-bool Placement::tick(Timestamp now)
+void Placement::tick(Timestamp now)
 {
     if (!settings_.learnsCapacity || now < nextUpdate_) {
-        return false;
+        return;
     }
     integrate(now);
     nextUpdate_ = now + UpdateInterval;
-    const std::uint32_t before = weightMilli_;
     if (completed_ >= MinimumCompleted && busyMs_ > 0.0) {
         capacityMilli_ = static_cast<std::uint32_t>(std::max(1.0, completed_ * 1000000.0 / busyMs_));
     }
+    // Only the ratio of the members' weights counts, so each lowers its own by its own share in use and needs no mean.
     const double share = shareElapsedMs_ > 0.0 ? shareBusyMs_ / shareElapsedMs_ : 0.0;
     const double wanted = std::max(1.0, capacityMilli_ * std::exp(-settings_.correction * share));
     if (std::abs(wanted - weightMilli_) > settings_.hysteresis * weightMilli_) {
-        const double step = settings_.maximumStep;
-        const double bounded = std::clamp(wanted, weightMilli_ / step, weightMilli_ * step);
-        weightMilli_ = static_cast<std::uint32_t>(std::max(1.0, bounded));
+        weightMilli_ = static_cast<std::uint32_t>(wanted);
     }
     // Half-life history: old requests count less the older they are.
     const double decay = decayOver(UpdateInterval, settings_.halfLife);
@@ -146,7 +96,6 @@
     const double shareDecay = decayOver(UpdateInterval, settings_.shareHalfLife);
     shareBusyMs_ *= shareDecay;
     shareElapsedMs_ *= shareDecay;
-    return weightMilli_ != before;
 }
 
 void Placement::integrate(Timestamp now)
--- a/src/bench/sharemeter.cpp
+++ b/src/bench/sharemeter.cpp
@@ -26,6 +26,15 @@
 {
 }
 
+ShareMeter ShareMeter::emptyCopy() const
+{
+    ShareMeter result = *this;
+    for (std::vector<double> &window : result.busy_) {
+        std::fill(window.begin(), window.end(), 0.0);
+    }
+    return result;
+}
+
 void ShareMeter::addBusy(std::size_t target, std::int64_t fromUs, std::int64_t toUs)
 {
     while (fromUs < toUs) {
