Answer a SYN of unknown outcome with an unreachable, not a reset

Cause: buildRefusal ignored the kind of refusal for TCP. After a target died, late SYN copies of requests that it may have run were answered with a reset, which a caller takes for "not run".

Excluded: a placement fault. The flows concerned had one owner, and no request ran on a second target.

The new test fails without the change.

Conclusion: a reset in answer to a SYN now means "not run" only.

--- a/src/agent/flowhome.cpp
+++ b/src/agent/flowhome.cpp
@@ -359,6 +359,7 @@
                                         return isDead;
                                     }),
                      candidates.end());
+    open.reserve(candidates.size());
     for (const MemberKey &candidate : candidates) {
         open.push_back(candidate.target);
     }
--- a/src/bench/decisions/main.cpp
+++ b/src/bench/decisions/main.cpp
@@ -91,7 +91,9 @@
     std::mt19937_64 random(1);
     std::uniform_int_distribution<std::uint64_t> number(from, to);
     std::vector<FlowTuple> flows;
-    for (int i = 0; i < 65536; ++i) {
+    constexpr int SampleCount = 65536;
+    flows.reserve(SampleCount);
+    for (int i = 0; i < SampleCount; ++i) {
         flows.push_back(flowOf(number(random)));
     }
     return flows;
--- a/src/daemon/configurationfile.cpp
+++ b/src/daemon/configurationfile.cpp
@@ -27,7 +27,9 @@
         Outcome<Spec> spec = parse(name, value);
         if (!isOk(spec)) {
             Error error = errorOf(spec);
-            error.field.insert(0, field + "." + name + ".");
+            std::string path = field;
+            path.append(".").append(name).append(".");
+            error.field.insert(0, path);
             return error;
         }
         into[name] = takeValue(std::move(spec));
--- a/src/daemon/measure/main.cpp
+++ b/src/daemon/measure/main.cpp
@@ -59,6 +59,7 @@
     std::thread sender([&] {
         UdpSocket socket = takeValue(UdpSocket::bound(loopback));
         std::vector<std::string> packets;
+        packets.reserve(Flows);
         for (int i = 0; i < Flows; ++i) {
             packets.push_back(buildUdpRequest(flowOf(i), std::string(PayloadBytes, 'x')));
         }
--- a/src/tests/datagramsealtest.cpp
+++ b/src/tests/datagramsealtest.cpp
@@ -64,6 +64,7 @@
 BOOST_AUTO_TEST_CASE(openOfReplayedDatagramIsReplayed)
 {
     std::vector<std::string> datagrams;
+    datagrams.reserve(3000);
     for (int i = 0; i < 3000; ++i) {
         datagrams.push_back(sender.seal("x"));
     }
--- a/src/tests/packettest.cpp
+++ b/src/tests/packettest.cpp
@@ -113,4 +113,13 @@
     BOOST_TEST(reset.flow.callerPort == flow.servicePort);
 }
 
+// Guards against a caller that takes the reset of its SYN for "not run" although the request may have run.
+BOOST_AUTO_TEST_CASE(buildRefusalOfSynWithUnknownOutcomeIsUnreachable)
+{
+    const PacketInfo info = std::get<PacketInfo>(parsePacket(syn));
+    const auto answer = parseAnswerPacket(buildRefusal(syn, info, Refusal::Unknown));
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->code == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/wire/ippacket.h
+++ b/src/wire/ippacket.h
@@ -50,7 +50,10 @@
 /** A UDP packet from the caller to the service of a flow, with checksums. */
 std::string buildUdpRequest(const FlowTuple &flow, std::string_view payload);
 
-/** The packet that tells the caller of `packet` that its flow is refused: a TCP reset or an ICMP unreachable. */
+/**
+ * The packet that tells the caller of `packet` that its flow is refused: a TCP reset or an ICMP unreachable. A SYN is
+ * answered with a reset only if its flow did not run.
+ */
 std::string buildRefusal(std::string_view packet, const PacketInfo &info, Refusal refusal);
 
 } // namespace rhubarblane
