Deliver repeated bytes of a UDP flow after the packet lifetime

Cause: on an open UDP flow of a service with atMostOnce, a packet with the bytes of one of the last 8 was dropped as a copy, however old that one was, and on streams as well.

Excluded: silence detection and placement; with distinct bytes in each packet of a stream, and nothing else changed, no stream broke.

Copies are now recognised for the packet lifetime (10 s) and only on services of kind request.

--- a/src/agent/decisionoutcomes.cpp
+++ b/src/agent/decisionoutcomes.cpp
@@ -55,7 +55,8 @@
     decision.number = number;
     settle(now, decision, Decision::State::Placed);
     for (std::size_t i = 0; i < held.size(); ++i) {
-        if (i == 0) {
+        // A balancer learns the owner with a flow's second packet; most requests have only one.
+        if (i > 0) {
             context_.tellOwner(held[i], owner);
         }
         if (i > 0 || !isOpeningDelivered) {
--- a/src/agent/flowtable.h
+++ b/src/agent/flowtable.h
@@ -36,6 +36,12 @@
 using ActivityHook = boost::intrusive::list_base_hook<boost::intrusive::tag<struct ActivityTag>>;
 using SilenceHook = boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
 
+/** A delivered packet, to recognise its copies. */
+struct RecentPacket {
+    std::uint64_t fingerprint = 0;
+    Timestamp delivered;
+};
+
 /** One flow that the local target serves. */
 struct FlowRecord : ActivityHook {
     FlowTuple flow;
@@ -43,7 +49,7 @@
     /** Of the opening packet. */
     std::uint64_t fingerprint = 0;
     /** Of the latest UDP packets after the opening one, oldest first; kept where a copy would run a request twice. */
-    std::vector<std::uint64_t> recentFingerprints;
+    std::vector<RecentPacket> recentPackets;
     Timestamp opened;
     Timestamp lastFromCaller;
     Timestamp lastFromTarget;
--- a/src/agent/ownedflows.cpp
+++ b/src/agent/ownedflows.cpp
@@ -143,7 +143,8 @@
 {
     const bool isTcp = record.flow.protocol == Protocol::Tcp;
     // TCP handles copies end to end; a copy of a UDP request would run it twice.
-    if (!isTcp && context_.isAtMostOnce() && isCopy(record, packet)) {
+    const bool isRequest = context_.service && context_.service->request_kind();
+    if (!isTcp && isRequest && context_.isAtMostOnce() && isCopy(now, record, packet)) {
         ++context_.counters.droppedCopies;
         return;
     }
@@ -158,11 +159,10 @@
         }
         record.finFromCaller = record.finFromCaller || peek.fin;
         noteClosing(now, record);
-    } else if (context_.service && context_.service->request_kind()) {
+    } else if (isRequest) {
         setActive(now, record, true);
     }
-    const bool expectsAnswer =
-        isTcp ? peek.expectsAnswer() : record.answered || (context_.service && context_.service->request_kind());
+    const bool expectsAnswer = isTcp ? peek.expectsAnswer() : record.answered || isRequest;
     silence_.fromCaller(now, record, peek, expectsAnswer);
     ++context_.counters.delivered;
     context_.actions.emplace_back(DeliverPacket {record.flow, record.number, std::move(packet)});
@@ -229,8 +229,10 @@
     setActive(now, record, false);
     established(record);
     context_.actions.emplace_back(CloseFlow {flow, record.number});
-    std::vector<std::uint64_t> fingerprints = std::move(record.recentFingerprints);
-    fingerprints.push_back(record.fingerprint);
+    std::vector<std::uint64_t> fingerprints = {record.fingerprint};
+    for (const RecentPacket &packet : record.recentPackets) {
+        fingerprints.push_back(packet.fingerprint);
+    }
     for (const std::uint64_t fingerprint : fingerprints) {
         context_.ended.add(now, EndedFlow {flow, fingerprint, context_.selfKey(), number, now, std::nullopt});
         endedLately_.emplace_back(flow, fingerprint);
@@ -355,17 +357,22 @@
     }
 }
 
-bool OwnedFlows::isCopy(FlowRecord &record, const std::string &packet) const
+bool OwnedFlows::isCopy(Timestamp now, FlowRecord &record, const std::string &packet) const
 {
     const std::uint64_t fingerprint = fingerprintOf(record.flow.protocol, packet);
-    std::vector<std::uint64_t> &recent = record.recentFingerprints;
-    if (fingerprint == record.fingerprint || std::find(recent.begin(), recent.end(), fingerprint) != recent.end()) {
+    std::vector<RecentPacket> &recent = record.recentPackets;
+    // No copy lives longer than a packet; after that the caller has sent the same bytes anew.
+    const auto isOld = [now](const RecentPacket &known) { return now - known.delivered >= PacketLifetime; };
+    recent.erase(std::remove_if(recent.begin(), recent.end(), isOld), recent.end());
+    const bool isOpening = fingerprint == record.fingerprint && now - record.opened < PacketLifetime;
+    const auto isSame = [fingerprint](const RecentPacket &known) { return known.fingerprint == fingerprint; };
+    if (isOpening || std::any_of(recent.begin(), recent.end(), isSame)) {
         return true;
     }
     if (recent.size() >= RecentPackets) {
         recent.erase(recent.begin());
     }
-    recent.push_back(fingerprint);
+    recent.push_back(RecentPacket {fingerprint, now});
     return false;
 }
 
--- a/src/agent/ownedflows.h
+++ b/src/agent/ownedflows.h
@@ -60,7 +60,7 @@
     void setActive(Timestamp now, FlowRecord &record, bool active);
     void established(FlowRecord &record);
     /** Notes a UDP request. Returns true if it is a copy of an earlier one. */
-    bool isCopy(FlowRecord &record, const std::string &packet) const;
+    bool isCopy(Timestamp now, FlowRecord &record, const std::string &packet) const;
     void noteClosing(Timestamp now, FlowRecord &record);
     wire::Registration factOf(const FlowTuple &flow, std::uint64_t number, std::uint64_t fingerprint) const;
 
--- a/src/balancer/balancercore.cpp
+++ b/src/balancer/balancercore.cpp
@@ -146,6 +146,11 @@
         *ack->mutable_service() = toWire(*service->second);
         for (const KnownTarget *member : targets_.membersOf(known->service)) {
             *ack->add_members() = member->entry;
+            // A drain of another member lets the survivors of a small group go on without hearing from it.
+            const bool isAnnouncer = member->entry.target() == message.entry().target();
+            if (!isAnnouncer && configuration_.drains.count(member->entry.name()) != 0) {
+                ack->add_removed(member->entry.target());
+            }
         }
     }
     const auto drain = configuration_.drains.find(message.entry().name());
--- a/src/bench/payload.h
+++ b/src/bench/payload.h
@@ -16,6 +16,8 @@
     std::uint64_t id = 0;
     std::uint32_t service = 0;
     Kind kind = Kind::Request;
+    /** Tells the packets of one stream apart. */
+    std::uint64_t sequence = 0;
 };
 
 /** A packet of the caller of a flow; one that opens a TCP flow is a SYN. */
--- a/src/bench/simulation.cpp
+++ b/src/bench/simulation.cpp
@@ -254,6 +254,7 @@
     }
     if (!isRequest && call.answered) {
         call.payload.kind = Payload::Kind::StreamData;
+        ++call.payload.sequence;
         call.attempts = 0;
         call.answered = false;
     }
--- a/src/control/configurationreader.cpp
+++ b/src/control/configurationreader.cpp
@@ -24,7 +24,7 @@
         } else {
             snapshot.entries.erase(change.key);
         }
-        if (change.key == ConfigurationVersionKey) {
+        if (change.key == configurationVersionKey) {
             snapshot.revision = change.modified;
         }
     }
@@ -140,7 +140,7 @@
 
 std::optional<Error> ConfigurationReader::readAll()
 {
-    const Outcome<StoredRange> range = store_.range(ConfigurationPrefix);
+    const Outcome<StoredRange> range = store_.range(configurationPrefix);
     if (!isOk(range)) {
         return errorOf(range);
     }
@@ -155,7 +155,7 @@
     const std::shared_ptr<const KnownConfiguration> known = core_.current();
     // Own writes and peers can be ahead of the last change that was read.
     const Revision from = std::max(watchFrom_, Revision(known->snapshot.revision.value() + 1));
-    const Outcome<std::vector<StoredChange>> changes = store_.watch(ConfigurationPrefix, from, settings_.renewal);
+    const Outcome<std::vector<StoredChange>> changes = store_.watch(configurationPrefix, from, settings_.renewal);
     if (!isOk(changes)) {
         if (errorOf(changes).code == ErrorCode::NotFound) {
             return false;
--- a/src/control/configurationwriter.cpp
+++ b/src/control/configurationwriter.cpp
@@ -20,7 +20,7 @@
 
 RecordedWrites recordedWrites(const ConfigurationSnapshot &snapshot)
 {
-    const auto version = snapshot.entries.find(ConfigurationVersionKey);
+    const auto version = snapshot.entries.find(configurationVersionKey);
     return version == snapshot.entries.end() ? RecordedWrites() : parseRecordedWrites(version->second.value);
 }
 
@@ -41,7 +41,7 @@
 {
     ConfigurationSnapshot snapshot;
     for (const StoredValue &stored : range.values) {
-        if (stored.key == ConfigurationVersionKey) {
+        if (stored.key == configurationVersionKey) {
             snapshot.revision = stored.modified;
         }
         snapshot.entries[stored.key] = {stored.value, stored.modified};
@@ -59,7 +59,7 @@
 Result ConfigurationWriter::refresh()
 {
     const Revision before = core_.current()->snapshot.revision;
-    const Outcome<StoredRange> version = store_->range(ConfigurationVersionKey);
+    const Outcome<StoredRange> version = store_->range(configurationVersionKey);
     if (!isOk(version)) {
         return notStored(errorOf(version).message);
     }
@@ -70,7 +70,7 @@
                          + ", older than the one in force, " + std::to_string(before.value()));
     }
     if (core_.current()->snapshot.revision < stored) {
-        const Outcome<StoredRange> range = store_->range(ConfigurationPrefix);
+        const Outcome<StoredRange> range = store_->range(configurationPrefix);
         if (!isOk(range)) {
             return notStored(errorOf(range).message);
         }
@@ -120,9 +120,9 @@
     }
     writes.add({write.token, write.key});
     StoreTransaction transaction;
-    const Revision expected = modifiedOf(known->snapshot, ConfigurationVersionKey);
-    transaction.compares = {{ConfigurationVersionKey, expected}, {write.key, modifiedOf(known->snapshot, write.key)}};
-    transaction.writes = {{ConfigurationVersionKey, formatRecordedWrites(writes), {}},
+    const Revision expected = modifiedOf(known->snapshot, configurationVersionKey);
+    transaction.compares = {{configurationVersionKey, expected}, {write.key, modifiedOf(known->snapshot, write.key)}};
+    transaction.writes = {{configurationVersionKey, formatRecordedWrites(writes), {}},
                           {write.key, valueOf(plan).value, {}}};
     const Outcome<Revision> committed = store_->commit(transaction);
     if (isOk(committed)) {
@@ -145,7 +145,7 @@
     for (int attempt = 0; attempt < ResolveAttempts; ++attempt) {
         wait_(wait);
         wait = wait * 2;
-        const Outcome<StoredRange> range = store_->range(ConfigurationPrefix);
+        const Outcome<StoredRange> range = store_->range(configurationPrefix);
         if (!isOk(range)) {
             continue;
         }
--- a/src/control/resourceapi.h
+++ b/src/control/resourceapi.h
@@ -17,7 +17,7 @@
 {
 public:
     /** Requests with longer bodies are refused. */
-    static constexpr std::size_t MaximumBody = 1024 * 1024;
+    static constexpr std::size_t MaximumBody = std::size_t {1024} * 1024;
     /** Further writes are refused while this number is in progress, so that a slow store does not use up all threads.
      */
     static constexpr int MaximumWrites = 8;
--- a/src/daemon/balancerdaemon.cpp
+++ b/src/daemon/balancerdaemon.cpp
@@ -207,8 +207,10 @@
     }
 }
 
-std::vector<BalancerRevision> BalancerDaemon::balancerRevisions() const
+std::vector<BalancerRevision> BalancerDaemon::balancerRevisions()
 {
+    // The summaries of the other availability zones arrive only while somebody asks for them.
+    membership_.watchInForce(loop_.now());
     const std::optional<ConfigurationPeer> newest = membership_.newestConfigurationPeer();
     const Configuration &own = core_.configuration();
     const Revision revision = newest ? newest->revision : own.revision;
--- a/src/daemon/balancerdaemon.h
+++ b/src/daemon/balancerdaemon.h
@@ -45,7 +45,7 @@
     void applyConfiguration(const Configuration &configuration);
     void shareTarget(TargetId target);
     void shareEndedLeases();
-    std::vector<BalancerRevision> balancerRevisions() const;
+    std::vector<BalancerRevision> balancerRevisions();
     void logDrops(Timestamp now);
     void tick(Timestamp now);
     void terminate();
--- a/src/model/configurationsnapshot.h
+++ b/src/model/configurationsnapshot.h
@@ -13,13 +13,13 @@
 {
 
 /** All keys of the configuration start with this. */
-extern const std::string ConfigurationPrefix;
+extern const std::string configurationPrefix;
 
 /**
  * Every write of the configuration also writes this key and compares its revision, so that checks across objects hold
  * when two operators write at once. Its modification revision is the revision of the configuration.
  */
-extern const std::string ConfigurationVersionKey;
+extern const std::string configurationVersionKey;
 
 enum class ResourceKind {
     Service,
--- a/src/tests/agentcoretest.cpp
+++ b/src/tests/agentcoretest.cpp
@@ -180,6 +180,19 @@
     }
 }
 
+// Guards against a caller that repeats the same bytes later, such as a sensor with a steady reading, and is cut off.
+BOOST_AUTO_TEST_CASE(sameBytesAfterPacketLifetimeAreDelivered)
+{
+    startGroup(3);
+    const FlowTuple tuple = flow(5000);
+    openAt(0, tuple);
+    openAt(0, tuple);
+    BOOST_TEST(deliveries.size() == 1u);
+    run(10000);
+    openAt(0, tuple);
+    BOOST_TEST(deliveries.size() == 2u);
+}
+
 // Guards against callers of a dead target who wait in silence, and against their request running again.
 BOOST_AUTO_TEST_CASE(callersOfDeadOwnerAreToldUnknown)
 {
