Let a new balancer fetch from the newest peer without summaries

Cause: a balancer that starts while the store is away asks the in-force hook for peers with a newer revision. While the in-force summaries are missing the hook reported every other balancer with revision 0, so there was nobody to fetch from, and packets that reached the new balancer were dropped.

Excluded: gossip, which had named the newest peer, and the store.

Conclusion: the peer that announced the highest revision always counts as having it.

--- a/src/daemon/balancerdaemon.cpp
+++ b/src/daemon/balancerdaemon.cpp
@@ -213,22 +213,8 @@
     membership_.watchInForce(loop_.now());
     const std::optional<ConfigurationPeer> newest = membership_.newestConfigurationPeer();
     const Configuration &own = core_.configuration();
-    const Revision revision = newest ? newest->revision : own.revision;
-    const InForceCount count = membership_.inForceCount(revision);
-    std::vector<BalancerRevision> result;
-    for (const MemberView &member : membership_.members()) {
-        BalancerRevision entry {member.name, revision, newest ? newest->digest : own.digest, member.httpAddress};
-        const bool lags = std::find(count.lagging.begin(), count.lagging.end(), member.name) != count.lagging.end();
-        if (member.name == settings_.name) {
-            entry.revision = own.revision;
-            entry.digest = own.digest;
-        } else if (lags) {
-            entry.revision = Revision();
-            entry.digest = 0;
-        }
-        result.push_back(std::move(entry));
-    }
-    return result;
+    const InForceCount count = membership_.inForceCount(newest ? newest->revision : own.revision);
+    return revisionsOf(membership_.members(), newest, count, {settings_.name, own.revision, own.digest, {}});
 }
 
 void BalancerDaemon::tick(Timestamp now)
--- a/src/daemon/balancerreport.cpp
+++ b/src/daemon/balancerreport.cpp
@@ -1,5 +1,7 @@
 #include "daemon/balancerreport.h"
 
+#include <algorithm>
+
 #include "daemon/socketreport.h"
 #include "model/resourcecodec.h"
 
@@ -96,4 +98,30 @@
     return json;
 }
 
+std::vector<BalancerRevision> revisionsOf(const std::vector<MemberView> &members,
+                                          const std::optional<ConfigurationPeer> &newest,
+                                          const InForceCount &count,
+                                          const BalancerRevision &own)
+{
+    std::vector<BalancerRevision> result;
+    for (const MemberView &member : members) {
+        BalancerRevision entry = own;
+        entry.name = member.name;
+        entry.peer = member.httpAddress;
+        // The in-force summaries are late; what a peer itself said of its revision is not.
+        const bool isNewest = newest && member.name == newest->name;
+        const bool lags = std::find(count.lagging.begin(), count.lagging.end(), member.name) != count.lagging.end();
+        if (member.name != own.name && newest) {
+            entry.revision = newest->revision;
+            entry.digest = newest->digest;
+        }
+        if (member.name != own.name && lags && !isNewest) {
+            entry.revision = Revision();
+            entry.digest = 0;
+        }
+        result.push_back(std::move(entry));
+    }
+    return result;
+}
+
 } // namespace rhubarblane
