--- a/src/daemon/agentdaemon.h
+++ b/src/daemon/agentdaemon.h
@@ -2,10 +2,10 @@
 #define RHUBARBLANE_DAEMON_AGENTDAEMON_H
 
 #include "agent/agentcore.h"
-#include "daemon/durationsummary.h"
-#include "daemon/eventloop.h"
+#include "runtime/durationsummary.h"
+#include "runtime/eventloop.h"
 #include "daemon/fabricio.h"
-#include "daemon/logs.h"
+#include "runtime/logs.h"
 #include "daemon/sealedtransport.h"
 #include "daemon/settings.h"
 #include "daemon/statusserver.h"
--- a/src/daemon/agentreport.h
+++ b/src/daemon/agentreport.h
@@ -2,7 +2,7 @@
 #define RHUBARBLANE_DAEMON_AGENTREPORT_H
 
 #include "agent/agentcore.h"
-#include "daemon/metricstext.h"
+#include "runtime/metricstext.h"
 #include "daemon/targetlink.h"
 
 #include <cpprest/json.h>
--- a/src/daemon/balancerdaemon.h
+++ b/src/daemon/balancerdaemon.h
@@ -3,10 +3,10 @@
 
 #include "balancer/balancercore.h"
 #include "control/controlserver.h"
-#include "daemon/durationsummary.h"
-#include "daemon/eventloop.h"
+#include "runtime/durationsummary.h"
+#include "runtime/eventloop.h"
 #include "daemon/fabricio.h"
-#include "daemon/logs.h"
+#include "runtime/logs.h"
 #include "daemon/sealedtransport.h"
 #include "daemon/settings.h"
 #include "membership/membershipcore.h"
--- a/src/daemon/balancerreport.h
+++ b/src/daemon/balancerreport.h
@@ -3,7 +3,7 @@
 
 #include "balancer/balancercore.h"
 #include "control/controlsettings.h"
-#include "daemon/metricstext.h"
+#include "runtime/metricstext.h"
 #include "membership/membershipcore.h"
 
 #include <cpprest/json.h>
--- a/src/daemon/fabricio.h
+++ b/src/daemon/fabricio.h
@@ -2,7 +2,7 @@
 #define RHUBARBLANE_DAEMON_FABRICIO_H
 
 #include "daemon/packetio.h"
-#include "daemon/udpsocket.h"
+#include "runtime/udpsocket.h"
 
 #include <optional>
 
--- a/src/daemon/sealedtransport.h
+++ b/src/daemon/sealedtransport.h
@@ -2,7 +2,7 @@
 #define RHUBARBLANE_DAEMON_SEALEDTRANSPORT_H
 
 #include "daemon/peertransport.h"
-#include "daemon/udpsocket.h"
+#include "runtime/udpsocket.h"
 #include "wire/datagramseal.h"
 
 #include <cstdint>
--- a/src/daemon/socketreport.h
+++ b/src/daemon/socketreport.h
@@ -1,9 +1,9 @@
 #ifndef RHUBARBLANE_DAEMON_SOCKETREPORT_H
 #define RHUBARBLANE_DAEMON_SOCKETREPORT_H
 
-#include "daemon/metricstext.h"
+#include "runtime/metricstext.h"
 #include "daemon/sealedtransport.h"
-#include "daemon/udpsocket.h"
+#include "runtime/udpsocket.h"
 
 #include <cpprest/json.h>
 
--- a/src/daemon/targetlink.h
+++ b/src/daemon/targetlink.h
@@ -2,7 +2,7 @@
 #define RHUBARBLANE_DAEMON_TARGETLINK_H
 
 #include "agent/agentaction.h"
-#include "daemon/eventloop.h"
+#include "runtime/eventloop.h"
 
 #include <cstdint>
 #include <functional>
--- /dev/null
+++ b/src/node/agentnode.cpp
@@ -0,0 +1,84 @@
+#include "node/agentnode.h"
+
+#include "node/nodereport.h"
+#include "runtime/logs.h"
+
+#include <utility>
+
+namespace rhubarblane
+{
+
+AgentNode::AgentNode(const NodeSettings &settings,
+                     Peer self,
+                     EventLoop &loop,
+                     const PacketFormat &format,
+                     ConfigStore &store)
+    : loop_(loop)
+    , sockets_(settings, loop)
+    , core_({self, settings.group, settings.reportInterval, settings.seeds}, loop.now(), format, sockets_)
+    , registration_(
+          store,
+          self,
+          [this](const std::vector<Peer> &peers) {
+              loop_.post([this, peers] { core_.onPeersNamed(loop_.now(), peers); });
+          },
+          [](const std::string &event, const std::string &detail) {
+              logEvent(LogLevel::Info, event, {{"dependency", "store"}, {"detail", detail}});
+          })
+{
+}
+
+std::optional<Error> AgentNode::start()
+{
+    const std::optional<Error> error =
+        sockets_.open([this](std::string_view packet) { core_.onTargetPacket(loop_.now(), packet); },
+                      [this](const PeerAddress &from, const wire::relay::Message &message) {
+                          core_.onPeerMessage(loop_.now(), from, message);
+                      });
+    if (error) {
+        return error;
+    }
+    loop_.onTick([this](Timestamp now) { tick(now); });
+    loop_.onTerminate([this] { core_.beginLeave(loop_.now()); });
+    registrationThread_ = std::make_unique<SteppedThread>([this] { return registration_.step(loop_.now()); });
+    return std::nullopt;
+}
+
+void AgentNode::tick(Timestamp now)
+{
+    core_.onTick(now);
+    if (core_.mayExit(now)) {
+        loop_.stop();
+    }
+    sockets_.flush();
+}
+
+bool AgentNode::report(const TargetReport &report)
+{
+    const auto done = loop_.call([this, report] {
+        core_.onTargetReport(loop_.now(), report);
+        return true;
+    });
+    return done.has_value();
+}
+
+bool AgentNode::leave(const std::string &target)
+{
+    const auto done = loop_.call([this, target] {
+        core_.onTargetLeft(loop_.now(), target);
+        return true;
+    });
+    return done.has_value();
+}
+
+std::string AgentNode::metrics()
+{
+    return loop_.call([this] { return agentMetrics(core_, sockets_, loop_.now()); }).value_or(std::string());
+}
+
+std::string AgentNode::dump()
+{
+    return loop_.call([this] { return agentDump(core_, loop_.now()); }).value_or("{}");
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/node/balancernode.cpp
@@ -0,0 +1,117 @@
+#include "node/balancernode.h"
+
+#include "node/nodereport.h"
+#include "runtime/logs.h"
+
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+// The fabric asks twice a second and takes a balancer out after two misses; the rest is for packets on their way.
+constexpr Milliseconds LeaveDelay(1600);
+
+void logStoreEvent(const std::string &event, const std::string &detail)
+{
+    logEvent(LogLevel::Info, event, {{"dependency", "store"}, {"detail", detail}});
+}
+
+RelayBalancerSettings coreSettings(const NodeSettings &settings, const Peer &self)
+{
+    RelayBalancerSettings result;
+    result.self = self;
+    result.seeds = settings.seeds;
+    result.randomSeed = self.id().value() ^ self.incarnation;
+    return result;
+}
+
+} // namespace
+
+BalancerNode::BalancerNode(const NodeSettings &settings,
+                           Peer self,
+                           EventLoop &loop,
+                           const PacketFormat &format,
+                           ConfigStore &store,
+                           std::string tableKey,
+                           TableWatcher::Decoder decode)
+    : loop_(loop)
+    , store_(store)
+    , sockets_(settings, loop)
+    , core_(coreSettings(settings, self), loop.now(), format, sockets_)
+    , registration_(
+          store,
+          self,
+          [this](const std::vector<Peer> &peers) {
+              loop_.post([this, peers] { core_.onPeersNamed(loop_.now(), peers); });
+          },
+          logStoreEvent)
+    , watcher_(
+          store,
+          std::move(tableKey),
+          std::move(decode),
+          [this](ServiceTable table) {
+              loop_.post([this, table = std::move(table)] {
+                  core_.onTable(loop_.now(), table, "store");
+                  ready_ = core_.isReady();
+              });
+          },
+          logStoreEvent)
+{
+}
+
+BalancerNode::~BalancerNode()
+{
+    store_.cancelWatches();
+}
+
+std::optional<Error> BalancerNode::start()
+{
+    const std::optional<Error> error =
+        sockets_.open([this](std::string_view packet) { core_.onCallerPacket(loop_.now(), packet); },
+                      [this](const PeerAddress &from, const wire::relay::Message &message) {
+                          core_.onPeerMessage(loop_.now(), from, message);
+                      });
+    if (error) {
+        return error;
+    }
+    loop_.onTick([this](Timestamp now) { tick(now); });
+    loop_.onTerminate([this] { terminate(); });
+    watcherThread_ = std::make_unique<SteppedThread>([this] { return watcher_.step(); });
+    registrationThread_ = std::make_unique<SteppedThread>([this] { return registration_.step(loop_.now()); });
+    return std::nullopt;
+}
+
+void BalancerNode::tick(Timestamp now)
+{
+    core_.onTick(now);
+    ready_ = core_.isReady();
+    if (exitAt_ && now >= *exitAt_) {
+        core_.finishLeave(now);
+        loop_.stop();
+    }
+    sockets_.flush();
+}
+
+void BalancerNode::terminate()
+{
+    if (!exitAt_) {
+        core_.beginLeave();
+        ready_ = false;
+        exitAt_ = loop_.now() + LeaveDelay;
+    }
+}
+
+std::string BalancerNode::metrics()
+{
+    return loop_.call([this] { return balancerMetrics(core_, sockets_); }).value_or(std::string());
+}
+
+std::string BalancerNode::dump()
+{
+    return loop_.call([this] { return balancerDump(core_); }).value_or("{}");
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/node/balancernode.h
@@ -0,0 +1,67 @@
+#ifndef RHUBARBLANE_NODE_BALANCERNODE_H
+#define RHUBARBLANE_NODE_BALANCERNODE_H
+
+#include "node/nodesettings.h"
+#include "node/peerregistration.h"
+#include "node/relaysockets.h"
+#include "node/steppedthread.h"
+#include "node/tablewatcher.h"
+#include "relay/relaybalancer.h"
+#include "runtime/eventloop.h"
+#include "store/configstore.h"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace rhubarblane
+{
+
+/** A relaying balancer with its sockets and threads. */
+class BalancerNode
+{
+public:
+    /** All references must outlive the node. `tableKey` holds what `decode` reads. */
+    BalancerNode(const NodeSettings &settings,
+                 Peer self,
+                 EventLoop &loop,
+                 const PacketFormat &format,
+                 ConfigStore &store,
+                 std::string tableKey,
+                 TableWatcher::Decoder decode);
+    ~BalancerNode();
+
+    std::optional<Error> start();
+
+    /** May be called on any thread. */
+    bool isReady() const
+    {
+        return ready_;
+    }
+
+    /** Metrics in the Prometheus text format. May be called on any thread but the loop's. */
+    std::string metrics();
+
+    /** What the node knows, as JSON. May be called on any thread but the loop's. */
+    std::string dump();
+
+private:
+    void tick(Timestamp now);
+    void terminate();
+
+    EventLoop &loop_;
+    ConfigStore &store_;
+    RelaySockets sockets_;
+    RelayBalancer core_;
+    PeerRegistration registration_;
+    TableWatcher watcher_;
+    std::atomic<bool> ready_ = false;
+    std::optional<Timestamp> exitAt_;
+    std::unique_ptr<SteppedThread> registrationThread_;
+    std::unique_ptr<SteppedThread> watcherThread_;
+};
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/node/nodereport.cpp
@@ -0,0 +1,179 @@
+#include "node/nodereport.h"
+
+#include "runtime/metricstext.h"
+
+#include <cpprest/json.h>
+
+#include <array>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+using web::json::value;
+
+/** A counter of a core and its name on the metrics page. */
+template<typename Counters>
+struct CounterRow {
+    const char *name;
+    const char *help;
+    std::uint64_t Counters::*member;
+};
+
+constexpr std::array BalancerRows {
+    CounterRow<RelayBalancerCounters> {"packets_total", "Packets of callers", &RelayBalancerCounters::packetsIn},
+    CounterRow<RelayBalancerCounters> {
+        "packets_malformed_total", "Packets and messages that cannot be read", &RelayBalancerCounters::malformed},
+    CounterRow<RelayBalancerCounters> {
+        "packets_forwarded_total", "Packets sent to a known owner", &RelayBalancerCounters::forwarded},
+    CounterRow<RelayBalancerCounters> {
+        "searches_total", "Packets sent to all agents of a group", &RelayBalancerCounters::searches},
+    CounterRow<RelayBalancerCounters> {"offers_total", "New flows offered to agents", &RelayBalancerCounters::offers},
+    CounterRow<RelayBalancerCounters> {
+        "offers_returned_total", "Offers that agents returned", &RelayBalancerCounters::offersReturned},
+    CounterRow<RelayBalancerCounters> {
+        "offers_unanswered_total", "Offers without an answer in time", &RelayBalancerCounters::offersUnanswered},
+    CounterRow<RelayBalancerCounters> {
+        "flows_opened_total", "Flows that a target opened", &RelayBalancerCounters::flowsOpened},
+    CounterRow<RelayBalancerCounters> {"refused_unknown_service_total",
+                                       "Packets for an address without a service",
+                                       &RelayBalancerCounters::refusedUnknownService},
+    CounterRow<RelayBalancerCounters> {
+        "refused_no_target_total", "New flows reset without a target", &RelayBalancerCounters::refusedNoTarget},
+    CounterRow<RelayBalancerCounters> {
+        "refused_overload_total", "New flows reset after all offers", &RelayBalancerCounters::refusedOverload},
+    CounterRow<RelayBalancerCounters> {
+        "dropped_no_table_total", "Packets before the first table", &RelayBalancerCounters::droppedNoTable},
+    CounterRow<RelayBalancerCounters> {
+        "dropped_no_target_total", "New flows before the first reports", &RelayBalancerCounters::droppedNoTarget},
+    CounterRow<RelayBalancerCounters> {
+        "dropped_no_flow_total", "Packets of flows without any agent to ask", &RelayBalancerCounters::droppedNoFlow},
+    CounterRow<RelayBalancerCounters> {
+        "tables_from_peers_total", "Tables fetched from other balancers", &RelayBalancerCounters::tablesFromPeers},
+};
+
+constexpr std::array AgentRows {
+    CounterRow<RelayAgentCounters> {"packets_to_target_total", "Packets delivered", &RelayAgentCounters::packetsIn},
+    CounterRow<RelayAgentCounters> {"packets_to_callers_total", "Packets answered", &RelayAgentCounters::packetsOut},
+    CounterRow<RelayAgentCounters> {
+        "packets_malformed_total", "Packets and messages that cannot be read", &RelayAgentCounters::malformed},
+    CounterRow<RelayAgentCounters> {
+        "flows_opened_total", "Flows that the target opened", &RelayAgentCounters::flowsOpened},
+    CounterRow<RelayAgentCounters> {
+        "returned_busy_total", "Offers returned for their wait", &RelayAgentCounters::returnedBusy},
+    CounterRow<RelayAgentCounters> {
+        "returned_full_total", "Offers that the target returned", &RelayAgentCounters::returnedFull},
+    CounterRow<RelayAgentCounters> {
+        "returned_not_ready_total", "Offers while the target takes none", &RelayAgentCounters::returnedNotReady},
+    CounterRow<RelayAgentCounters> {
+        "returned_not_held_total", "Packets that the target returned", &RelayAgentCounters::returnedNotHeld},
+    CounterRow<RelayAgentCounters> {
+        "returned_wrong_group_total", "Packets for another group", &RelayAgentCounters::returnedWrongGroup},
+    CounterRow<RelayAgentCounters> {
+        "searches_delivered_total", "Searched packets delivered", &RelayAgentCounters::searchesDelivered},
+    CounterRow<RelayAgentCounters> {
+        "searches_ignored_total", "Searched packets of other targets", &RelayAgentCounters::searchesIgnored},
+    CounterRow<RelayAgentCounters> {"resets_ended_target_total",
+                                    "Flows reset since their target ended",
+                                    &RelayAgentCounters::resetsForEndedTargets},
+    CounterRow<RelayAgentCounters> {
+        "requests_finished_total", "Requests with an answer", &RelayAgentCounters::requestsFinished},
+    CounterRow<RelayAgentCounters> {
+        "requests_abandoned_total", "Requests that ended without an answer", &RelayAgentCounters::requestsAbandoned},
+    CounterRow<RelayAgentCounters> {
+        "target_reports_outdated_total", "Late status reports", &RelayAgentCounters::reportsOutdated},
+};
+
+template<typename Rows, typename Counters>
+void addCounters(MetricsText &text, const Rows &rows, const Counters &counters)
+{
+    for (const auto &row : rows) {
+        text.counter(row.name, row.help, counters.*(row.member));
+    }
+}
+
+void addSockets(MetricsText &text, const RelaySockets &sockets)
+{
+    text.counter("messages_malformed_total", "Messages of peers that cannot be read", sockets.malformedMessages());
+    text.counter("datagram_send_errors_total",
+                 "Datagrams that the kernel did not take",
+                 sockets.packetCounters().sendErrors + sockets.peerCounters().sendErrors);
+}
+
+value number(double n)
+{
+    return value::number(n);
+}
+
+} // namespace
+
+std::string balancerMetrics(const RelayBalancer &core, const RelaySockets &sockets)
+{
+    MetricsText text;
+    addCounters(text, BalancerRows, core.counters());
+    text.gauge("table_version", "Version of the service table in force",
+               core.table() == nullptr ? 0.0 : static_cast<double>(core.table()->version.value()));
+    text.gauge("flows", "Flows whose owner is remembered", static_cast<double>(core.flows()));
+    text.gauge("targets", "Targets that report", static_cast<double>(core.targets().size()));
+    text.histogram("flow_open_seconds", "Time from the first packet to the opened flow", core.openTimes());
+    addSockets(text, sockets);
+    return text.text();
+}
+
+std::string agentMetrics(const RelayAgent &core, const RelaySockets &sockets, Timestamp now)
+{
+    MetricsText text;
+    addCounters(text, AgentRows, core.counters());
+    text.gauge("requests", "Requests at the target", core.meter().busy());
+    text.gauge("slots", "Requests that the target serves at once", core.meter().slots());
+    text.gauge("utilization", "Share of the slots in use", core.meter().utilization(now));
+    text.gauge("flows", "Flows with a record", static_cast<double>(core.openFlows()));
+    text.gauge("target_ready", "1 while new flows are taken", core.state(now) == TargetState::Ready ? 1.0 : 0.0);
+    text.histogram("request_seconds", "Time from a request to its answer", core.requestTimes());
+    addSockets(text, sockets);
+    return text.text();
+}
+
+std::string balancerDump(const RelayBalancer &core)
+{
+    value dump = value::object();
+    dump["table"] = number(core.table() == nullptr ? 0.0 : static_cast<double>(core.table()->version.value()));
+    dump["flows"] = number(static_cast<double>(core.flows()));
+    value targets = value::array();
+    for (const auto &[address, target] : core.targets().all()) {
+        value row = value::object();
+        row["agent"] = value::string(target.agent.name);
+        row["address"] = value::string(formatPeerAddress(address));
+        row["group"] = value::string(target.groupName);
+        row["state"] = value::string(nameOf(target.state));
+        row["silent"] = value::boolean(target.silent);
+        row["busy"] = number(target.busy);
+        row["slots"] = number(target.slots);
+        row["utilization"] = number(target.utilization);
+        row["serviceTimeMs"] = number(target.serviceTimeMs);
+        targets[targets.size()] = row;
+    }
+    dump["targets"] = targets;
+    return dump.serialize();
+}
+
+std::string agentDump(const RelayAgent &core, Timestamp now)
+{
+    value dump = value::object();
+    dump["state"] = value::string(nameOf(core.state(now)));
+    dump["busy"] = number(core.meter().busy());
+    dump["slots"] = number(core.meter().slots());
+    dump["utilization"] = number(core.meter().utilization(now));
+    dump["serviceTimeMs"] = number(core.meter().serviceTimeMs());
+    dump["flows"] = number(static_cast<double>(core.openFlows()));
+    value balancers = value::array();
+    for (const PeerBook::Entry *entry : core.peers().withRole(PeerRole::Balancer)) {
+        balancers[balancers.size()] = value::string(entry->peer.name);
+    }
+    dump["balancers"] = balancers;
+    return dump.serialize();
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/node/nodereport.h
@@ -0,0 +1,23 @@
+#ifndef RHUBARBLANE_NODE_NODEREPORT_H
+#define RHUBARBLANE_NODE_NODEREPORT_H
+
+#include "node/relaysockets.h"
+#include "relay/relayagent.h"
+#include "relay/relaybalancer.h"
+
+#include <string>
+
+namespace rhubarblane
+{
+
+/** Metrics in the Prometheus text format. */
+std::string balancerMetrics(const RelayBalancer &core, const RelaySockets &sockets);
+std::string agentMetrics(const RelayAgent &core, const RelaySockets &sockets, Timestamp now);
+
+/** State as JSON. */
+std::string balancerDump(const RelayBalancer &core);
+std::string agentDump(const RelayAgent &core, Timestamp now);
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/node/peerregistration.cpp
@@ -0,0 +1,149 @@
+#include "node/peerregistration.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarblane
+{
+
+const std::string peerEntryPrefix = "rhubarblane/peers/";
+
+namespace
+{
+
+// An entry of a dead process misleads new ones for at most this long; agents and balancers are met by datagrams anyway.
+constexpr Milliseconds LeaseDuration(10000);
+// Three renewals in a lease: two may be lost.
+constexpr Milliseconds RenewalInterval(3000);
+// Finds a lost entry of the process itself and processes that no message named.
+constexpr Milliseconds ReadInterval(5000);
+// Entries are to be back within 2 s of the store's return.
+constexpr Milliseconds RetryInterval(800);
+
+std::vector<Peer> decodePeers(const StoredRange &range, const PeerRegistration::LogHandler &onLog)
+{
+    std::vector<Peer> peers;
+    for (const StoredValue &value : range.values) {
+        wire::relay::Peer encoded;
+        if (!encoded.ParseFromString(value.value) || peerEntryPrefix + encoded.name() != value.key) {
+            onLog("peerEntryUnreadable", value.key);
+            continue;
+        }
+        peers.push_back(fromWire(encoded));
+    }
+    return peers;
+}
+
+} // namespace
+
+PeerRegistration::PeerRegistration(ConfigStore &store, Peer self, PeersHandler onPeers, LogHandler onLog)
+    : store_(store)
+    , self_(std::move(self))
+    , onPeers_(std::move(onPeers))
+    , onLog_(std::move(onLog))
+    , key_(peerEntryPrefix + self_.name)
+{
+}
+
+Milliseconds PeerRegistration::step(Timestamp now)
+{
+    std::optional<Error> error;
+    if (!registered_) {
+        error = registerSelf(now);
+    } else if (now >= nextRenewal_) {
+        error = renew(now);
+    }
+    if (!error && now >= nextRead_) {
+        error = readPeers(now);
+    }
+    noteOutcome(error);
+    if (error) {
+        return RetryInterval;
+    }
+    if (!registered_) {
+        return Milliseconds(0);
+    }
+    const Timestamp next = std::min(nextRenewal_, nextRead_);
+    return std::max(Milliseconds(0), next - now);
+}
+
+std::optional<Error> PeerRegistration::registerSelf(Timestamp now)
+{
+    if (lease_ == LeaseId()) {
+        Outcome<LeaseId> lease = store_.grantLease(LeaseDuration);
+        if (!isOk(lease)) {
+            return errorOf(lease);
+        }
+        lease_ = valueOf(lease);
+    }
+    // Without a condition: only this process writes the key, and writing it twice changes nothing.
+    const Outcome<Revision> written =
+        store_.commit({{}, {StoreWrite {key_, toWire(self_).SerializeAsString(), lease_}}});
+    if (!isOk(written)) {
+        if (errorOf(written).code == ErrorCode::NotFound) {
+            lease_ = LeaseId();
+        }
+        return errorOf(written);
+    }
+    registered_ = true;
+    nextRenewal_ = now + RenewalInterval;
+    nextRead_ = now;
+    readFresh_ = true;
+    onLog_("entryWritten", key_);
+    return std::nullopt;
+}
+
+std::optional<Error> PeerRegistration::renew(Timestamp now)
+{
+    const std::optional<Error> error = store_.keepLeaseAlive(lease_);
+    if (!error) {
+        nextRenewal_ = now + RenewalInterval;
+        return std::nullopt;
+    }
+    if (error->code == ErrorCode::NotFound) {
+        onLog_("leaseExpired", key_);
+        lease_ = LeaseId();
+        registered_ = false;
+        return registerSelf(now);
+    }
+    return error;
+}
+
+std::optional<Error> PeerRegistration::readPeers(Timestamp now)
+{
+    const Outcome<StoredRange> range = readFresh_ ? store_.range(peerEntryPrefix) : store_.cachedRange(peerEntryPrefix);
+    if (!isOk(range)) {
+        return errorOf(range);
+    }
+    const std::vector<Peer> peers = decodePeers(valueOf(range), onLog_);
+    const bool listed =
+        std::any_of(peers.begin(), peers.end(), [this](const Peer &peer) { return peer.name == self_.name; });
+    onPeers_(peers);
+    if (listed) {
+        readFresh_ = false;
+        nextRead_ = now + ReadInterval;
+    } else if (readFresh_) {
+        onLog_("entryLost", key_);
+        lease_ = LeaseId();
+        registered_ = false;
+    } else {
+        // The cached answer may be older than the entry.
+        readFresh_ = true;
+    }
+    return std::nullopt;
+}
+
+void PeerRegistration::noteOutcome(const std::optional<Error> &error)
+{
+    if (error && available_) {
+        onLog_("storeLost", error->message);
+    } else if (!error && !available_) {
+        onLog_("storeRegained", key_);
+        // Leases may have ended while the store was away.
+        readFresh_ = true;
+        nextRead_ = Timestamp();
+    }
+    available_ = !error;
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/node/tablewatcher.cpp
@@ -0,0 +1,96 @@
+#include "node/tablewatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+// A connection that has gone silent hides changes for at most one wait; a table must be in force within 3 s.
+constexpr Milliseconds LongestWait(2500);
+constexpr Milliseconds RetryInterval(300);
+
+} // namespace
+
+TableWatcher::TableWatcher(ConfigStore &store,
+                           std::string key,
+                           Decoder decode,
+                           TableHandler onTable,
+                           LogHandler onLog)
+    : store_(store)
+    , key_(std::move(key))
+    , decode_(std::move(decode))
+    , onTable_(std::move(onTable))
+    , onLog_(std::move(onLog))
+{
+}
+
+Milliseconds TableWatcher::step()
+{
+    const std::optional<Error> error = seen_ == Revision() ? readAll() : waitForChange();
+    noteOutcome(error);
+    return error ? RetryInterval : Milliseconds(0);
+}
+
+std::optional<Error> TableWatcher::readAll()
+{
+    const Outcome<StoredRange> range = store_.range(key_);
+    if (!isOk(range)) {
+        return errorOf(range);
+    }
+    for (const StoredValue &value : valueOf(range).values) {
+        if (value.key == key_) {
+            apply(value.value, value.modified);
+        }
+    }
+    seen_ = valueOf(range).revision;
+    return std::nullopt;
+}
+
+std::optional<Error> TableWatcher::waitForChange()
+{
+    const Outcome<std::vector<StoredChange>> changes =
+        store_.watch(key_, Revision(seen_.value() + 1), LongestWait);
+    if (!isOk(changes)) {
+        // Only a full read shows what changed meanwhile: the history may have been dropped.
+        seen_ = Revision();
+        if (errorOf(changes).code == ErrorCode::NotFound) {
+            onLog_("historyDropped", key_);
+            return std::nullopt;
+        }
+        return errorOf(changes);
+    }
+    for (const StoredChange &change : valueOf(changes)) {
+        if (change.key == key_ && change.value) {
+            apply(*change.value, change.modified);
+        }
+        seen_ = std::max(seen_, change.modified);
+    }
+    return std::nullopt;
+}
+
+void TableWatcher::apply(const std::string &value, Revision modified)
+{
+    Outcome<ServiceTable> table = decode_(value);
+    if (!isOk(table)) {
+        onLog_("tableUnreadable", errorOf(table).field + ": " + errorOf(table).message + ", revision "
+                   + std::to_string(modified.value()));
+        return;
+    }
+    onTable_(takeValue(std::move(table)));
+}
+
+void TableWatcher::noteOutcome(const std::optional<Error> &error)
+{
+    if (error && available_) {
+        onLog_("storeLost", error->message);
+    } else if (!error && !available_) {
+        onLog_("storeRegained", key_);
+    }
+    available_ = !error;
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/node/tablewatcher.h
@@ -0,0 +1,47 @@
+#ifndef RHUBARBLANE_NODE_TABLEWATCHER_H
+#define RHUBARBLANE_NODE_TABLEWATCHER_H
+
+#include "base/clock.h"
+#include "base/outcome.h"
+#include "relay/servicetable.h"
+#include "store/configstore.h"
+
+#include <functional>
+#include <string>
+
+namespace rhubarblane
+{
+
+/** Follows the key of the store that holds the operators' service table. A step blocks while it waits for a change. */
+class TableWatcher
+{
+public:
+    using Decoder = std::function<Outcome<ServiceTable>(const std::string &value)>;
+    using TableHandler = std::function<void(ServiceTable table)>;
+    using LogHandler = std::function<void(const std::string &event, const std::string &detail)>;
+
+    /** `store` must outlive the watcher. */
+    TableWatcher(ConfigStore &store, std::string key, Decoder decode, TableHandler onTable, LogHandler onLog);
+
+    /** Returns how long to wait before the next step. */
+    Milliseconds step();
+
+private:
+    std::optional<Error> readAll();
+    std::optional<Error> waitForChange();
+    void apply(const std::string &value, Revision modified);
+    void noteOutcome(const std::optional<Error> &error);
+
+    ConfigStore &store_;
+    std::string key_;
+    Decoder decode_;
+    TableHandler onTable_;
+    LogHandler onLog_;
+    /** Changes up to this revision are known; Revision() before the first full read. */
+    Revision seen_;
+    bool available_ = true;
+};
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/relay/flowplacement.h
@@ -0,0 +1,57 @@
+#ifndef RHUBARBLANE_RELAY_FLOWPLACEMENT_H
+#define RHUBARBLANE_RELAY_FLOWPLACEMENT_H
+
+#include "base/clock.h"
+#include "relay/targetdirectory.h"
+#include "wire/peeraddress.h"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace rhubarblane
+{
+
+/** Where a new flow goes next, and how long it may wait there for a slot. */
+struct Offer {
+    PeerAddress agent;
+    Milliseconds acceptedWait = Milliseconds(0);
+    /** No target is left after this one. */
+    bool last = false;
+};
+
+/** The offers that a new flow has had. */
+struct OfferHistory {
+    std::vector<PeerAddress> tried;
+    bool lastOfferMade = false;
+};
+
+/**
+ * Chooses targets for new flows by what balancers know of their load. A flow is offered to some targets that must have a
+ * free slot; then to the one with the shortest expected time, where it may wait up to the given limit.
+ */
+class FlowPlacement
+{
+public:
+    explicit FlowPlacement(std::uint64_t seed);
+
+    /** Nothing if no target can serve the flow within the limit. */
+    std::optional<Offer> next(Timestamp now,
+                              const std::vector<const KnownTarget *> &group,
+                              const OfferHistory &history,
+                              Milliseconds acceptedWait);
+
+    /** Expected time from the offer to the end of a request, in ms. */
+    static double expectedTime(const KnownTarget &target, double meanServiceTimeMs);
+
+private:
+    const KnownTarget *chooseFree(const std::vector<const KnownTarget *> &candidates, double meanServiceTimeMs);
+    const KnownTarget *drawByFreeCapacity(const std::vector<const KnownTarget *> &candidates, double meanServiceTimeMs);
+
+    std::mt19937_64 random_;
+};
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/relay/ownedflow.h
@@ -0,0 +1,27 @@
+#ifndef RHUBARBLANE_RELAY_OWNEDFLOW_H
+#define RHUBARBLANE_RELAY_OWNEDFLOW_H
+
+#include "relay/flowplacement.h"
+#include "relay/recentflows.h"
+#include "wire/peeraddress.h"
+
+#include <string>
+
+namespace rhubarblane
+{
+
+/** What a balancer remembers of a flow. */
+struct OwnedFlow : RecentFlow {
+    /** The agent whose target holds the flow, or that has the last offer; port 0 if unknown. */
+    PeerAddress owner;
+
+    /** The flow waits for the answer to an offer. */
+    bool offered = false;
+    Timestamp offeredAt;
+    OfferHistory history;
+    std::string openingPacket;
+};
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/relay/peerbook.cpp
@@ -0,0 +1,135 @@
+#include "relay/peerbook.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+// Three times the interval at which the store is read, so that one failed read forgets nobody.
+constexpr Milliseconds Retention(15000);
+// Four intervals of the slowest message between peers.
+constexpr Milliseconds RecentlyHeard(4000);
+// A start of the same name with a lower number is accepted when the earlier one has been silent for this time: the
+// time of day of a VM can go back between two starts.
+constexpr Milliseconds SilenceOfEarlierStart(2000);
+
+} // namespace
+
+wire::relay::Peer toWire(const Peer &peer)
+{
+    wire::relay::Peer result;
+    result.set_name(peer.name);
+    result.set_agent(peer.role == PeerRole::Agent);
+    result.set_availability_zone(peer.availabilityZone);
+    result.set_address(peer.address.address);
+    result.set_port(peer.address.port);
+    result.set_incarnation(peer.incarnation);
+    return result;
+}
+
+Peer fromWire(const wire::relay::Peer &encoded)
+{
+    return {encoded.name(),
+            encoded.agent() ? PeerRole::Agent : PeerRole::Balancer,
+            encoded.availability_zone(),
+            {encoded.address(), static_cast<std::uint16_t>(encoded.port())},
+            encoded.incarnation()};
+}
+
+PeerBook::PeerBook(Peer self)
+    : self_(std::move(self))
+{
+}
+
+bool PeerBook::hear(Timestamp now, const Peer &peer)
+{
+    if (peer.name == self_.name) {
+        return false;
+    }
+    Entry &entry = entries_[peer.id()];
+    const bool earlierStart = peer.incarnation < entry.peer.incarnation;
+    if (earlierStart && entry.heard && now - *entry.heard < SilenceOfEarlierStart) {
+        return false;
+    }
+    entry.peer = peer;
+    entry.heard = now;
+    entry.named = now;
+    removeOthersAt(peer);
+    return true;
+}
+
+void PeerBook::name(Timestamp now, const Peer &peer)
+{
+    if (peer.name == self_.name) {
+        return;
+    }
+    const auto [position, inserted] = entries_.try_emplace(peer.id(), Entry {peer, std::nullopt, now});
+    Entry &entry = position->second;
+    entry.named = now;
+    if (peer.incarnation > entry.peer.incarnation) {
+        entry.peer = peer;
+    }
+}
+
+void PeerBook::remove(PeerId peer)
+{
+    entries_.erase(peer);
+}
+
+std::vector<Peer> PeerBook::expire(Timestamp now)
+{
+    std::vector<Peer> expired;
+    for (auto entry = entries_.begin(); entry != entries_.end();) {
+        if (now - entry->second.named < Retention) {
+            ++entry;
+            continue;
+        }
+        expired.push_back(entry->second.peer);
+        entry = entries_.erase(entry);
+    }
+    return expired;
+}
+
+const PeerBook::Entry *PeerBook::find(PeerId peer) const
+{
+    const auto found = entries_.find(peer);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+std::vector<const PeerBook::Entry *> PeerBook::withRole(PeerRole role) const
+{
+    std::vector<const Entry *> result;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.peer.role == role) {
+            result.push_back(&entry);
+        }
+    }
+    return result;
+}
+
+std::vector<const PeerBook::Entry *> PeerBook::recentlyHeard(Timestamp now, std::size_t limit) const
+{
+    std::vector<const Entry *> result;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.heard && now - *entry.heard < RecentlyHeard) {
+            result.push_back(&entry);
+        }
+    }
+    std::sort(result.begin(), result.end(), [](const Entry *a, const Entry *b) { return *b->heard < *a->heard; });
+    result.resize(std::min(result.size(), limit));
+    return result;
+}
+
+void PeerBook::removeOthersAt(const Peer &peer)
+{
+    for (auto entry = entries_.begin(); entry != entries_.end();) {
+        const bool replaced = entry->second.peer.address == peer.address && entry->second.peer.name != peer.name;
+        entry = replaced ? entries_.erase(entry) : std::next(entry);
+    }
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/relay/relaybalancer.h
@@ -0,0 +1,150 @@
+#ifndef RHUBARBLANE_RELAY_RELAYBALANCER_H
+#define RHUBARBLANE_RELAY_RELAYBALANCER_H
+
+#include "base/clock.h"
+#include "base/latencyhistogram.h"
+#include "relay/flowplacement.h"
+#include "relay/ownedflow.h"
+#include "relay/packetformat.h"
+#include "relay/peerbook.h"
+#include "relay/recentflows.h"
+#include "relay/relayoutput.h"
+#include "relay/servicetable.h"
+#include "relay/targetdirectory.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace rhubarblane
+{
+
+struct RelayBalancerSettings {
+    Peer self;
+    /** Where peers may be reached that the store does not name yet. */
+    std::vector<PeerAddress> seeds;
+    /** Flows whose owner is remembered. */
+    std::size_t flowLimit = 200000;
+    std::uint64_t randomSeed = 1;
+};
+
+struct RelayBalancerCounters {
+    std::uint64_t packetsIn = 0;
+    std::uint64_t malformed = 0;
+    std::uint64_t forwarded = 0;
+    std::uint64_t searches = 0;
+    std::uint64_t offers = 0;
+    std::uint64_t offersReturned = 0;
+    std::uint64_t offersUnanswered = 0;
+    std::uint64_t flowsOpened = 0;
+    std::uint64_t refusedUnknownService = 0;
+    std::uint64_t refusedNoTarget = 0;
+    std::uint64_t refusedOverload = 0;
+    std::uint64_t droppedNoTable = 0;
+    std::uint64_t droppedNoTarget = 0;
+    std::uint64_t droppedNoFlow = 0;
+    std::uint64_t tablesFromPeers = 0;
+};
+
+/**
+ * The decisions of the process on an entry VM for services whose targets return packets of flows that they do not hold.
+ * It remembers where flows are, places new ones, and searches for the owners of others. No sockets, threads or clock.
+ */
+class RelayBalancer
+{
+public:
+    /** `format` and `output` must outlive the balancer. */
+    RelayBalancer(RelayBalancerSettings settings, Timestamp now, const PacketFormat &format, RelayOutput &output);
+
+    void onCallerPacket(Timestamp now, std::string_view packet);
+    void onPeerMessage(Timestamp now, const PeerAddress &from, const wire::relay::Message &message);
+
+    /** A table from the store or from the operators; ignored unless it is newer. `source` is for the log. */
+    void onTable(Timestamp now, ServiceTable table, std::string_view source);
+
+    /** Processes that the store names. */
+    void onPeersNamed(Timestamp now, const std::vector<Peer> &peers);
+
+    /** At least every 20 ms. */
+    void onTick(Timestamp now);
+
+    /** The process stops: it asks for no more packets, but still forwards those that come. */
+    void beginLeave();
+
+    /** Tells the peers that the process ends now. */
+    void finishLeave(Timestamp now);
+
+    /** Whether the fabric should send packets here. */
+    bool isReady() const;
+
+    const ServiceTable *table() const
+    {
+        return table_ ? &*table_ : nullptr;
+    }
+    const RelayBalancerCounters &counters() const
+    {
+        return counters_;
+    }
+    const TargetDirectory &targets() const
+    {
+        return targets_;
+    }
+    const PeerBook &peers() const
+    {
+        return peers_;
+    }
+    /** Time from the first packet of a flow until a target opened it. */
+    const LatencyHistogram &openTimes() const
+    {
+        return openTimes_;
+    }
+    std::size_t flows() const
+    {
+        return flows_.size();
+    }
+
+private:
+    void handleReport(Timestamp now, const PeerAddress &from, const wire::relay::Report &report);
+    void handleHello(Timestamp now, const PeerAddress &from, const wire::relay::Hello &hello);
+    void handleReturned(Timestamp now, const PeerAddress &from, const wire::relay::Returned &returned);
+    void handleHeld(Timestamp now, const PeerAddress &from, const wire::relay::Held &held);
+    void handleTableRequest(const PeerAddress &from, const wire::relay::TableRequest &request);
+
+    void open(Timestamp now, const RelayedService &service, const RelayPacket &head, std::string_view packet);
+    void offerNext(Timestamp now, OwnedFlow &flow, std::string_view reason);
+    void refuse(Timestamp now, const OwnedFlow &flow, std::string_view reason);
+    void forward(const PeerAddress &agent, GroupId group, ForwardMode mode, Milliseconds wait, std::string_view packet);
+    void search(Timestamp now, const RelayedService &service, std::string_view packet, const PeerAddress &except);
+    void resetCaller(const RelayPacket &head);
+    void sendHellos(Timestamp now);
+    void fillHello(Timestamp now, wire::relay::Hello &hello) const;
+    Milliseconds acceptedWait(const RelayedService &service) const;
+
+    RelayBalancerSettings settings_;
+    const PacketFormat &format_;
+    RelayOutput &output_;
+    PeerBook peers_;
+    TargetDirectory targets_;
+    FlowPlacement placement_;
+    RecentFlows<OwnedFlow> flows_;
+    std::deque<std::pair<FlowTuple, Timestamp>> offers_;
+    std::optional<ServiceTable> table_;
+    TableAssembler assembler_;
+    RelayBalancerCounters counters_;
+    LatencyHistogram openTimes_;
+    Timestamp started_;
+    Timestamp nextHello_;
+    Timestamp nextSeedContact_;
+    Timestamp nextSweep_;
+    Timestamp nextTableRequest_;
+    bool leaving_ = false;
+    bool ending_ = false;
+};
+
+} // namespace rhubarblane
+
+#endif
--- /dev/null
+++ b/src/relay/targetdirectory.cpp
@@ -0,0 +1,140 @@
+#include "relay/targetdirectory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+// Four report intervals: three lost datagrams in a row are rarer than one in a million at 1% loss.
+constexpr Milliseconds SilenceOfUsable(1000);
+// Longer than the restart of an agent, whose target keeps its flows meanwhile.
+constexpr Milliseconds Retention(15000);
+
+TargetState stateOf(const wire::relay::Load &load)
+{
+    const std::uint32_t state = load.state();
+    return state <= static_cast<std::uint32_t>(TargetState::AgentLeaving) ? static_cast<TargetState>(state)
+                                                                        : TargetState::Unknown;
+}
+
+} // namespace
+
+TargetDirectory::TargetDirectory(std::string availabilityZone)
+    : availabilityZone_(std::move(availabilityZone))
+{
+}
+
+bool TargetDirectory::report(Timestamp now, const Peer &agent, const std::string &group, const wire::relay::Load &load)
+{
+    const GroupId groupId = groupIdOf(group);
+    const auto [position, inserted] = targets_.try_emplace(agent.address);
+    KnownTarget &target = position->second;
+    const bool replaced = !inserted && (target.agent.name != agent.name || target.group != groupId);
+    const bool restarted = !inserted && target.agent.incarnation != agent.incarnation;
+    const TargetState before = target.state;
+    if (replaced || restarted) {
+        target.sequence = 0;
+        target.offered = 0;
+    }
+    if (inserted || replaced) {
+        if (replaced) {
+            std::vector<PeerAddress> &members = groups_[target.group];
+            members.erase(std::remove(members.begin(), members.end(), agent.address), members.end());
+        }
+        target = KnownTarget();
+        target.group = groupId;
+        target.groupName = group;
+        groups_[groupId].push_back(agent.address);
+    }
+    target.agent = agent;
+    target.sameZone = agent.availabilityZone == availabilityZone_;
+    apply(now, target, load);
+    return inserted || replaced || before != target.state;
+}
+
+void TargetDirectory::updateLoad(Timestamp now, const PeerAddress &agent, const wire::relay::Load &load)
+{
+    const auto found = targets_.find(agent);
+    if (found != targets_.end()) {
+        apply(now, found->second, load);
+    }
+}
+
+void TargetDirectory::apply(Timestamp now, KnownTarget &target, const wire::relay::Load &load)
+{
+    target.heard = now;
+    target.silent = false;
+    if (load.sequence() <= target.sequence) {
+        return;
+    }
+    target.sequence = load.sequence();
+    target.state = stateOf(load);
+    target.slots = std::max<std::uint32_t>(1, load.slots());
+    target.busy = load.busy();
+    target.opening = load.opening();
+    target.openFlows = load.open_flows();
+    target.serviceTimeMs = load.service_time_us() / 1000.0;
+    target.utilization = load.utilization() / 1000.0;
+    target.offered = 0;
+}
+
+void TargetDirectory::noteOffer(const PeerAddress &agent)
+{
+    const auto found = targets_.find(agent);
+    if (found != targets_.end()) {
+        ++found->second.offered;
+    }
+}
+
+void TargetDirectory::noteSilence(const PeerAddress &agent)
+{
+    const auto found = targets_.find(agent);
+    if (found != targets_.end()) {
+        found->second.silent = true;
+    }
+}
+
+std::vector<Peer> TargetDirectory::expire(Timestamp now)
+{
+    std::vector<Peer> expired;
+    for (auto target = targets_.begin(); target != targets_.end();) {
+        if (now - target->second.heard < Retention) {
+            ++target;
+            continue;
+        }
+        expired.push_back(target->second.agent);
+        std::vector<PeerAddress> &members = groups_[target->second.group];
+        members.erase(std::remove(members.begin(), members.end(), target->first), members.end());
+        target = targets_.erase(target);
+    }
+    return expired;
+}
+
+const KnownTarget *TargetDirectory::find(const PeerAddress &agent) const
+{
+    const auto found = targets_.find(agent);
+    return found == targets_.end() ? nullptr : &found->second;
+}
+
+std::vector<const KnownTarget *> TargetDirectory::ofGroup(GroupId group) const
+{
+    std::vector<const KnownTarget *> result;
+    const auto found = groups_.find(group);
+    if (found != groups_.end()) {
+        for (const PeerAddress &address : found->second) {
+            result.push_back(&targets_.at(address));
+        }
+    }
+    return result;
+}
+
+bool TargetDirectory::isUsable(Timestamp now, const KnownTarget &target)
+{
+    return target.state == TargetState::Ready && !target.silent && now - target.heard < SilenceOfUsable;
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/relay/targetstatus.h
@@ -0,0 +1,84 @@
+#ifndef RHUBARBLANE_RELAY_TARGETSTATUS_H
+#define RHUBARBLANE_RELAY_TARGETSTATUS_H
+
+#include "base/clock.h"
+#include "relay/relaytypes.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace rhubarblane
+{
+
+/** A status report of the target on the agent's own VM. */
+struct TargetReport {
+    std::string target;
+    std::string group;
+    /** Unix milliseconds of the target's start. */
+    std::int64_t started = 0;
+    /** Grows with each report of one start. */
+    std::uint64_t sequence = 0;
+    std::uint32_t slots = 1;
+    bool draining = false;
+    /** How much longer the target is slow after its start. */
+    Milliseconds coldLeft = Milliseconds(0);
+};
+
+/** What an agent believes of its target. */
+class TargetStatus
+{
+public:
+    enum class Change {
+        None, ///< Reports the same.
+        Changed, ///< Another state.
+        NewStart, ///< The target started again and holds no flow of before.
+        Outdated, ///< A late report, which changed nothing.
+    };
+
+    explicit TargetStatus(Milliseconds reportInterval);
+
+    Change report(Timestamp now, const TargetReport &report);
+
+    /** The target said that it has ended. Returns false if another start is known by now. */
+    bool leave(const std::string &target);
+
+    /** A packet of the target arrived. */
+    void answered(Timestamp now);
+
+    /** An opening packet was sent to the target. */
+    void askedToOpen(Timestamp now);
+
+    TargetState state(Timestamp now) const;
+
+    const std::string &target() const
+    {
+        return report_.target;
+    }
+
+    /** Age of the last report; nothing before the first one. */
+    std::optional<Milliseconds> reportAge(Timestamp now) const;
+
+    std::uint64_t sequence() const
+    {
+        return report_.sequence;
+    }
+
+    /** Counts the starts of the target that the agent saw. */
+    std::uint64_t starts() const
+    {
+        return starts_;
+    }
+
+private:
+    Milliseconds reportInterval_;
+    TargetReport report_;
+    std::optional<Timestamp> reported_;
+    std::optional<Timestamp> unanswered_;
+    std::uint64_t starts_ = 0;
+    bool left_ = false;
+};
+
+} // namespace rhubarblane
+
+#endif
--- a/src/daemon/durationsummary.cpp
+++ b/src/runtime/durationsummary.cpp
@@ -1,4 +1,4 @@
-#include "daemon/durationsummary.h"
+#include "runtime/durationsummary.h"
 
 #include <array>
 
--- a/src/daemon/durationsummary.h
+++ b/src/runtime/durationsummary.h
@@ -1,5 +1,5 @@
-#ifndef RHUBARBLANE_DAEMON_DURATIONSUMMARY_H
-#define RHUBARBLANE_DAEMON_DURATIONSUMMARY_H
+#ifndef RHUBARBLANE_RUNTIME_DURATIONSUMMARY_H
+#define RHUBARBLANE_RUNTIME_DURATIONSUMMARY_H
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
--- a/src/daemon/eventloop.cpp
+++ b/src/runtime/eventloop.cpp
@@ -1,4 +1,4 @@
-#include "daemon/eventloop.h"
+#include "runtime/eventloop.h"
 
 #include "base/invariant.h"
 
@@ -64,16 +64,32 @@
 void EventLoop::onTerminate(Handler handler)
 {
     terminateHandler_ = std::move(handler);
-    if (signals_ >= 0) {
-        return;
-    }
+    watchSignals();
+}
+
+void EventLoop::onReload(Handler handler)
+{
+    reloadHandler_ = std::move(handler);
+    watchSignals();
+}
+
+void EventLoop::watchSignals()
+{
     sigset_t set;
     sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    signals_ = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+    if (terminateHandler_) {
+        sigaddset(&set, SIGTERM);
+        sigaddset(&set, SIGINT);
+    }
+    if (reloadHandler_) {
+        sigaddset(&set, SIGHUP);
+    }
+    const bool watched = signals_ >= 0;
+    signals_ = signalfd(signals_, &set, SFD_NONBLOCK | SFD_CLOEXEC);
     RHUBARBLANE_INVARIANT(signals_ >= 0, "the process can open a signal descriptor");
-    add(signals_, [this] { readSignals(); });
+    if (!watched) {
+        add(signals_, [this] { readSignals(); });
+    }
 }
 
 void EventLoop::post(Handler task)
@@ -142,7 +158,7 @@
 {
     signalfd_siginfo info {};
     while (read(signals_, &info, sizeof(info)) == static_cast<ssize_t>(sizeof(info))) {
-        terminateHandler_();
+        (info.ssi_signo == SIGHUP ? reloadHandler_ : terminateHandler_)();
     }
 }
 
--- a/src/daemon/eventloop.h
+++ b/src/runtime/eventloop.h
@@ -1,5 +1,5 @@
-#ifndef RHUBARBLANE_DAEMON_EVENTLOOP_H
-#define RHUBARBLANE_DAEMON_EVENTLOOP_H
+#ifndef RHUBARBLANE_RUNTIME_EVENTLOOP_H
+#define RHUBARBLANE_RUNTIME_EVENTLOOP_H
 
 #include "base/clock.h"
 
@@ -64,6 +64,9 @@
     /** Called on the loop's thread for each SIGTERM or SIGINT. */
     void onTerminate(Handler handler);
 
+    /** Called on the loop's thread for each SIGHUP, which must be blocked too. */
+    void onReload(Handler handler);
+
     Timestamp now() const
     {
         return clock_.now();
@@ -71,6 +74,7 @@
 
 private:
     void runPosted();
+    void watchSignals();
     void readSignals();
     int waitTime(Timestamp now) const;
 
@@ -84,6 +88,7 @@
     std::unordered_map<int, Handler> handlers_;
     TickHandler tickHandler_;
     Handler terminateHandler_;
+    Handler reloadHandler_;
     std::mutex postedMutex_;
     std::vector<Handler> posted_;
     bool ended_ = false;
--- a/src/daemon/logs.cpp
+++ b/src/runtime/logs.cpp
@@ -1,10 +1,13 @@
-#include "daemon/logs.h"
+#include "runtime/logs.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <memory>
 
 namespace rhubarblane
@@ -14,6 +17,43 @@
 {
 
 constexpr Milliseconds WindowLength(1000);
+// A pipe that is ready for writing takes this much at once without blocking.
+constexpr std::size_t LongestLine = 4096;
+
+/** Writes lines to the standard output stream. A line that would block is dropped and counted in the next one. */
+class NonBlockingAppender : public log4cplus::Appender
+{
+public:
+    ~NonBlockingAppender() override
+    {
+        destructorImpl();
+    }
+
+    void close() override
+    {
+        closed = true;
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        std::string line = formatEvent(event);
+        if (dropped_ > 0) {
+            line.insert(line.size() - 1, " droppedLines=" + std::to_string(dropped_));
+        }
+        if (line.size() > LongestLine) {
+            line.resize(LongestLine - 1);
+            line.push_back('\n');
+        }
+        pollfd output {STDOUT_FILENO, POLLOUT, 0};
+        const bool ready = poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+        const bool written = ready && ::write(STDOUT_FILENO, line.data(), line.size()) >= 0;
+        dropped_ = written ? 0 : dropped_ + 1;
+    }
+
+private:
+    std::uint64_t dropped_ = 0;
+};
 
 log4cplus::LogLevel toLog4cplus(LogLevel level)
 {
@@ -71,7 +111,7 @@
 {
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(new NonBlockingAppender);
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("time=%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n"));
     root.addAppender(appender);
     root.setLogLevel(parseLevel(level));
--- a/src/daemon/logs.h
+++ b/src/runtime/logs.h
@@ -1,5 +1,5 @@
-#ifndef RHUBARBLANE_DAEMON_LOGS_H
-#define RHUBARBLANE_DAEMON_LOGS_H
+#ifndef RHUBARBLANE_RUNTIME_LOGS_H
+#define RHUBARBLANE_RUNTIME_LOGS_H
 
 #include "base/clock.h"
 
@@ -22,7 +22,10 @@
 
 using LogFields = std::initializer_list<std::pair<std::string_view, std::string>>;
 
-/** Starts logging to the standard error stream; `level` is debug, info, warn or error. */
+/**
+ * Starts logging to the standard output stream; `level` is debug, info, warn or error. Logging never blocks: lines that
+ * the reader of the stream does not take are dropped and counted.
+ */
 void startLogs(const std::string &level);
 
 /** Writes one line of key=value fields; values with spaces or quotes are quoted. */
--- a/src/daemon/metricstext.cpp
+++ b/src/runtime/metricstext.cpp
@@ -1,6 +1,7 @@
-#include "daemon/metricstext.h"
+#include "runtime/metricstext.h"
 
-#include "daemon/durationsummary.h"
+#include "base/latencyhistogram.h"
+#include "runtime/durationsummary.h"
 
 #include <sstream>
 
@@ -57,6 +58,25 @@
     sample(std::string(name) + "_count", {}, std::to_string(durations.count()));
 }
 
+void MetricsText::histogram(std::string_view name, std::string_view help, const LatencyHistogram &durations)
+{
+    constexpr double MillisecondsPerSecond = 1000.0;
+    head(name, help, "histogram");
+    std::uint64_t cumulative = 0;
+    for (std::size_t bucket = 0; bucket <= LatencyHistogram::BoundsMs.size(); ++bucket) {
+        const bool bounded = bucket < LatencyHistogram::BoundsMs.size();
+        const std::string bound =
+            bounded ? formatNumber(static_cast<double>(LatencyHistogram::BoundsMs[bucket]) / MillisecondsPerSecond)
+                    : "+Inf";
+        cumulative += durations.count(bucket);
+        sample(std::string(name) + "_bucket", {{"le", bound}}, std::to_string(cumulative));
+    }
+    sample(std::string(name) + "_sum",
+           {},
+           formatNumber(static_cast<double>(durations.sum().count()) / MillisecondsPerSecond));
+    sample(std::string(name) + "_count", {}, std::to_string(cumulative));
+}
+
 void MetricsText::head(std::string_view name, std::string_view help, std::string_view type)
 {
     // The format allows one head for each name, before its first sample.
--- a/src/daemon/metricstext.h
+++ b/src/runtime/metricstext.h
@@ -1,5 +1,5 @@
-#ifndef RHUBARBLANE_DAEMON_METRICSTEXT_H
-#define RHUBARBLANE_DAEMON_METRICSTEXT_H
+#ifndef RHUBARBLANE_RUNTIME_METRICSTEXT_H
+#define RHUBARBLANE_RUNTIME_METRICSTEXT_H
 
 #include <cstdint>
 #include <string>
@@ -11,6 +11,7 @@
 {
 
 class DurationSummary;
+class LatencyHistogram;
 
 /** Builds a page in the Prometheus text format, version 0.0.4. Names get the prefix "rhubarblane_". */
 class MetricsText
@@ -22,6 +23,8 @@
     void gauge(std::string_view name, std::string_view help, double value, const Labels &labels = {});
     void summary(std::string_view name, std::string_view help, const DurationSummary &durations);
 
+    void histogram(std::string_view name, std::string_view help, const LatencyHistogram &durations);
+
     const std::string &text() const
     {
         return text_;
--- a/src/daemon/udpsocket.cpp
+++ b/src/runtime/udpsocket.cpp
@@ -1,4 +1,4 @@
-#include "daemon/udpsocket.h"
+#include "runtime/udpsocket.h"
 
 #include <arpa/inet.h>
 #include <unistd.h>
--- a/src/daemon/udpsocket.h
+++ b/src/runtime/udpsocket.h
@@ -1,5 +1,5 @@
-#ifndef RHUBARBLANE_DAEMON_UDPSOCKET_H
-#define RHUBARBLANE_DAEMON_UDPSOCKET_H
+#ifndef RHUBARBLANE_RUNTIME_UDPSOCKET_H
+#define RHUBARBLANE_RUNTIME_UDPSOCKET_H
 
 #include "base/outcome.h"
 #include "wire/peeraddress.h"
--- a/src/store/configstore.h
+++ b/src/store/configstore.h
@@ -64,6 +64,12 @@
 
     virtual Outcome<StoredRange> range(const std::string &prefix) = 0;
 
+    /** Like range(), but the answer may be some seconds old and costs the store less, if it offers that. */
+    virtual Outcome<StoredRange> cachedRange(const std::string &prefix)
+    {
+        return range(prefix);
+    }
+
     /** Returns the revision of the transaction. */
     virtual Outcome<Revision> commit(const StoreTransaction &transaction) = 0;
 
--- a/src/store/etcdstore.cpp
+++ b/src/store/etcdstore.cpp
@@ -1,12 +1,11 @@
 #include "store/etcdstore.h"
 
 #include "store/etcdcodec.h"
+#include "store/storecall.h"
 
 #include <cpprest/containerstream.h>
 #include <cpprest/http_client.h>
 
-#include <chrono>
-#include <future>
 #include <utility>
 
 namespace rhubarblane
@@ -15,33 +14,17 @@
 namespace
 {
 
-using web::http::client::http_client;
-using web::http::client::http_client_config;
 using web::json::value;
 
 constexpr int CodeInvalidArgument = 3;
 constexpr int CodeNotFound = 5;
 constexpr int CodeOutOfRange = 11;
 
-std::chrono::milliseconds toChrono(Milliseconds span)
-{
-    return std::chrono::milliseconds(span.count());
-}
-
-/** A client without kept connections: cpprestsdk resends a request by itself when a kept connection was closed. */
-std::shared_ptr<http_client> makeClient(const std::string &url, Milliseconds timeout)
-{
-    http_client_config config;
-    config.set_timeout(toChrono(timeout));
-    return std::make_shared<http_client>(url, config);
-}
-
 web::http::http_request makeRequest(const std::string &path, const value &body)
 {
     web::http::http_request request(web::http::methods::POST);
     request.set_request_uri(path);
     request.set_body(body);
-    request.headers().add("Connection", "close");
     return request;
 }
 
@@ -62,34 +45,6 @@
     return {ifUncertain, {}, text};
 }
 
-/** Certain that the request did not reach the store: no connection could be made. */
-bool isConnectError(const web::http::http_exception &exception)
-{
-    return exception.error_code() == std::errc::host_unreachable
-        || exception.error_code() == std::errc::connection_refused;
-}
-
-/** Waits for a task up to a deadline; cancels it then. Returns nothing if the deadline passed. */
-template<typename T>
-std::optional<T> waitFor(pplx::task<T> task, Milliseconds timeout, const pplx::cancellation_token_source &cancel)
-{
-    // pplx has no timed wait.
-    auto promise = std::make_shared<std::promise<T>>();
-    std::future<T> future = promise->get_future();
-    task.then([promise](const pplx::task<T> &done) {
-        try {
-            promise->set_value(done.get());
-        } catch (...) {
-            promise->set_exception(std::current_exception());
-        }
-    });
-    if (future.wait_for(toChrono(timeout)) != std::future_status::ready) {
-        cancel.cancel();
-        return std::nullopt;
-    }
-    return future.get();
-}
-
 /** Reads messages of a watch stream, one a line, until one has changes or is an error. */
 pplx::task<Outcome<std::vector<StoredChange>>> readChanges(const concurrency::streams::istream &body)
 {
@@ -116,69 +71,18 @@
 {
 }
 
-/** Lists a waiting watch while it lives, so that cancelWatches() finds it. */
-class EtcdStore::WatchEntry
-{
-public:
-    WatchEntry(EtcdStore &store, const pplx::cancellation_token_source &cancel)
-        : store_(store)
-    {
-        const std::lock_guard<std::mutex> lock(store_.mutex_);
-        cancelled_ = store_.watchesCancelled_;
-        position_ = store_.watches_.insert(store_.watches_.end(), cancel);
-    }
-    ~WatchEntry()
-    {
-        const std::lock_guard<std::mutex> lock(store_.mutex_);
-        store_.watches_.erase(position_);
-    }
-    WatchEntry(const WatchEntry &) = delete;
-    WatchEntry &operator=(const WatchEntry &) = delete;
-
-    bool isCancelled() const
-    {
-        return cancelled_;
-    }
-
-private:
-    EtcdStore &store_;
-    std::list<pplx::cancellation_token_source>::iterator position_;
-    bool cancelled_ = false;
-};
-
 Outcome<value> EtcdStore::call(const std::string &path, const value &request, Effect effect) const
 {
     const ErrorCode ifUncertain = effect == Effect::Write ? ErrorCode::Unknown : ErrorCode::Unavailable;
-    struct Answer {
-        web::http::status_code status = 0;
-        value body;
-    };
-    try {
-        const auto client = makeClient(url_, timeout_);
-        const pplx::cancellation_token_source cancel;
-        pplx::task<Answer> task =
-            client->request(makeRequest(path, request), cancel.get_token())
-                .then([client](const web::http::http_response &response) {
-                    return response.extract_json(true).then([status = response.status_code()](const value &body) {
-                        return Answer {status, body};
-                    });
-                });
-        const std::optional<Answer> answer = waitFor(task, timeout_, cancel);
-        if (!answer) {
-            return Error {
-                ifUncertain, {}, "no answer from the store within " + std::to_string(timeout_.count()) + " ms"};
-        }
-        if (answer->status != web::http::status_codes::OK) {
-            return gatewayError(answer->status, answer->body, ifUncertain);
-        }
-        return answer->body;
-    } catch (const web::http::http_exception &exception) {
-        return Error {isConnectError(exception) ? ErrorCode::Unavailable : ifUncertain,
-                      {},
-                      std::string("the store cannot be reached: ") + exception.what()};
-    } catch (const std::exception &exception) {
-        return Error {ifUncertain, {}, std::string("bad answer from the store: ") + exception.what()};
+    const Outcome<StoreAnswer> answer = callStore(url_, makeRequest(path, request), timeout_, ifUncertain);
+    if (!isOk(answer)) {
+        return errorOf(answer);
     }
+    const StoreAnswer &received = valueOf(answer);
+    if (received.status != web::http::status_codes::OK) {
+        return gatewayError(received.status, received.body, ifUncertain);
+    }
+    return received.body;
 }
 
 Outcome<StoredRange> EtcdStore::range(const std::string &prefix)
@@ -214,14 +118,16 @@
 {
     try {
         // The client's own limit applies to each read and must not end a watch that waits as asked.
-        const auto client = makeClient(url_, timeout + timeout_);
+        const auto client = makeStoreClient(url_, timeout + timeout_);
         const pplx::cancellation_token_source cancel;
-        const WatchEntry entry(*this, cancel);
+        const WaitingCalls::Entry entry(watches_, cancel);
         if (entry.isCancelled()) {
             return Error {ErrorCode::Unavailable, {}, "watches are cancelled"};
         }
+        web::http::http_request request = makeRequest("/v3/watch", encodeWatch(prefix, from));
+        request.headers().add("Connection", "close");
         pplx::task<Outcome<std::vector<StoredChange>>> task =
-            client->request(makeRequest("/v3/watch", encodeWatch(prefix, from)), cancel.get_token())
+            client->request(std::move(request), cancel.get_token())
                 .then([client](const web::http::http_response &response) {
                     if (response.status_code() == web::http::status_codes::OK) {
                         return readChanges(response.body()).then([client](Outcome<std::vector<StoredChange>> changes) {
@@ -233,7 +139,7 @@
                             return gatewayError(status, body, ErrorCode::Unavailable);
                         });
                 });
-        std::optional<Outcome<std::vector<StoredChange>>> changes = waitFor(task, timeout, cancel);
+        std::optional<Outcome<std::vector<StoredChange>>> changes = waitForTask(task, timeout, cancel);
         return changes ? std::move(*changes) : std::vector<StoredChange>();
     } catch (const std::exception &exception) {
         return Error {ErrorCode::Unavailable, {}, std::string("the watch failed: ") + exception.what()};
@@ -242,17 +148,12 @@
 
 void EtcdStore::cancelWatches()
 {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    watchesCancelled_ = true;
-    for (const pplx::cancellation_token_source &watch : watches_) {
-        watch.cancel();
-    }
+    watches_.cancel();
 }
 
 void EtcdStore::allowWatches()
 {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    watchesCancelled_ = false;
+    watches_.allow();
 }
 
 Outcome<LeaseId> EtcdStore::grantLease(Milliseconds duration)
--- a/src/store/etcdstore.h
+++ b/src/store/etcdstore.h
@@ -2,12 +2,10 @@
 #define RHUBARBLANE_STORE_ETCDSTORE_H
 
 #include "store/configstore.h"
+#include "store/storecall.h"
 
 #include <cpprest/json.h>
-#include <pplx/pplxtasks.h>
 
-#include <list>
-#include <mutex>
 #include <string>
 
 namespace rhubarblane
@@ -34,7 +32,6 @@
     std::optional<Error> revokeLease(LeaseId lease) override;
 
 private:
-    class WatchEntry;
     enum class Effect {
         Read,
         Write,
@@ -44,9 +41,7 @@
 
     std::string url_;
     Milliseconds timeout_;
-    std::mutex mutex_;
-    std::list<pplx::cancellation_token_source> watches_;
-    bool watchesCancelled_ = false;
+    WaitingCalls watches_;
 };
 
 } // namespace rhubarblane
--- /dev/null
+++ b/src/store/storecall.cpp
@@ -0,0 +1,96 @@
+#include "store/storecall.h"
+
+#include <system_error>
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+/** Certain that the request did not reach the store: no connection could be made. */
+bool isConnectError(const web::http::http_exception &exception)
+{
+    return exception.error_code() == std::errc::host_unreachable
+        || exception.error_code() == std::errc::connection_refused;
+}
+
+} // namespace
+
+std::chrono::milliseconds toChrono(Milliseconds span)
+{
+    return std::chrono::milliseconds(span.count());
+}
+
+std::shared_ptr<web::http::client::http_client> makeStoreClient(const std::string &url, Milliseconds timeout)
+{
+    web::http::client::http_client_config config;
+    config.set_timeout(toChrono(timeout));
+    return std::make_shared<web::http::client::http_client>(url, config);
+}
+
+Outcome<StoreAnswer> callStore(const std::string &url,
+                               web::http::http_request request,
+                               Milliseconds timeout,
+                               ErrorCode ifUncertain,
+                               const pplx::cancellation_token_source &cancel)
+{
+    request.headers().add("Connection", "close");
+    try {
+        const auto client = makeStoreClient(url, timeout);
+        pplx::task<StoreAnswer> task =
+            client->request(std::move(request), cancel.get_token())
+                .then([client](const web::http::http_response &response) {
+                    return response.extract_string(true).then(
+                        [status = response.status_code()](const std::string &text) {
+                            // Error answers may carry any text; the status says enough.
+                            std::error_code unreadable;
+                            return StoreAnswer {status, web::json::value::parse(text, unreadable)};
+                        });
+                });
+        std::optional<StoreAnswer> answer = waitForTask(task, timeout, cancel);
+        if (!answer) {
+            return Error {
+                ifUncertain, {}, "no answer from the store within " + std::to_string(timeout.count()) + " ms"};
+        }
+        return std::move(*answer);
+    } catch (const web::http::http_exception &exception) {
+        return Error {isConnectError(exception) ? ErrorCode::Unavailable : ifUncertain,
+                      {},
+                      std::string("the store cannot be reached: ") + exception.what()};
+    } catch (const std::exception &exception) {
+        return Error {ifUncertain, {}, std::string("bad answer from the store: ") + exception.what()};
+    }
+}
+
+WaitingCalls::Entry::Entry(WaitingCalls &calls, const pplx::cancellation_token_source &cancel)
+    : calls_(calls)
+{
+    const std::lock_guard<std::mutex> lock(calls_.mutex_);
+    cancelled_ = calls_.cancelled_;
+    position_ = calls_.calls_.insert(calls_.calls_.end(), cancel);
+}
+
+WaitingCalls::Entry::~Entry()
+{
+    const std::lock_guard<std::mutex> lock(calls_.mutex_);
+    calls_.calls_.erase(position_);
+}
+
+void WaitingCalls::cancel()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    cancelled_ = true;
+    for (const pplx::cancellation_token_source &call : calls_) {
+        call.cancel();
+    }
+}
+
+void WaitingCalls::allow()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    cancelled_ = false;
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/store/storecall.h
@@ -0,0 +1,101 @@
+#ifndef RHUBARBLANE_STORE_STORECALL_H
+#define RHUBARBLANE_STORE_STORECALL_H
+
+#include "base/clock.h"
+#include "base/outcome.h"
+
+#include <cpprest/http_client.h>
+#include <cpprest/json.h>
+#include <pplx/pplxtasks.h>
+
+#include <chrono>
+#include <exception>
+#include <future>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace rhubarblane
+{
+
+/** An answer of the store, whatever its status. */
+struct StoreAnswer {
+    web::http::status_code status = 0;
+    web::json::value body;
+};
+
+std::chrono::milliseconds toChrono(Milliseconds span);
+
+/** A client without kept connections: cpprestsdk resends a request by itself when a kept connection was closed. */
+std::shared_ptr<web::http::client::http_client> makeStoreClient(const std::string &url, Milliseconds timeout);
+
+/**
+ * One HTTP call with a JSON answer. Unavailable if the request certainly did not reach the store, otherwise
+ * `ifUncertain` when there is no answer within the timeout or none that can be read. An empty body is null.
+ */
+Outcome<StoreAnswer> callStore(const std::string &url,
+                               web::http::http_request request,
+                               Milliseconds timeout,
+                               ErrorCode ifUncertain,
+                               const pplx::cancellation_token_source &cancel = {});
+
+/** Waits for a task up to a deadline and cancels it then. Returns nothing if the deadline passed. */
+template<typename T>
+std::optional<T> waitForTask(pplx::task<T> task, Milliseconds timeout, const pplx::cancellation_token_source &cancel)
+{
+    // pplx has no timed wait.
+    auto promise = std::make_shared<std::promise<T>>();
+    std::future<T> future = promise->get_future();
+    task.then([promise](const pplx::task<T> &done) {
+        try {
+            promise->set_value(done.get());
+        } catch (...) {
+            promise->set_exception(std::current_exception());
+        }
+    });
+    if (future.wait_for(toChrono(timeout)) != std::future_status::ready) {
+        cancel.cancel();
+        return std::nullopt;
+    }
+    return future.get();
+}
+
+/** The calls that wait for changes, so that the end of the process can end them. Safe to use from several threads. */
+class WaitingCalls
+{
+public:
+    /** Lists a call while it lives. */
+    class Entry
+    {
+    public:
+        Entry(WaitingCalls &calls, const pplx::cancellation_token_source &cancel);
+        ~Entry();
+        Entry(const Entry &) = delete;
+        Entry &operator=(const Entry &) = delete;
+
+        bool isCancelled() const
+        {
+            return cancelled_;
+        }
+
+    private:
+        WaitingCalls &calls_;
+        std::list<pplx::cancellation_token_source>::iterator position_;
+        bool cancelled_ = false;
+    };
+
+    /** Cancels waiting calls and all later ones until allow(). */
+    void cancel();
+    void allow();
+
+private:
+    std::mutex mutex_;
+    std::list<pplx::cancellation_token_source> calls_;
+    bool cancelled_ = false;
+};
+
+} // namespace rhubarblane
+
+#endif
--- a/src/tests/eventlooptest.cpp
+++ b/src/tests/eventlooptest.cpp
@@ -1,6 +1,6 @@
 #define BOOST_TEST_MODULE EventLoop
 #include "daemon/targetlink.h"
-#include "daemon/udpsocket.h"
+#include "runtime/udpsocket.h"
 #include "wire/ippacket.h"
 
 #include <boost/test/unit_test.hpp>
--- a/src/tests/logstest.cpp
+++ b/src/tests/logstest.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE Logs
-#include "daemon/logs.h"
+#include "runtime/logs.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/src/tests/metricstest.cpp
+++ b/src/tests/metricstest.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE Metrics
 #include "daemon/agentreport.h"
 #include "daemon/balancerreport.h"
-#include "daemon/durationsummary.h"
+#include "runtime/durationsummary.h"
 
 #include <boost/test/unit_test.hpp>
 
