--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -28,6 +28,12 @@
 {
 }
 
+AgentNode::~AgentNode()
+{
+    registrationThread_.reset();
+    registration_.withdraw();
+}
+
 std::optional<Error> AgentNode::start()
 {
     const std::optional<Error> error =
@@ -48,6 +54,7 @@
 {
     core_.onTick(now);
     if (core_.mayExit(now)) {
+        core_.finishLeave(now);
         loop_.stop();
     }
     sockets_.flush();
--- a/src/node/agentnode.h
+++ b/src/node/agentnode.h
@@ -26,6 +26,9 @@
               EventLoop &loop,
               const PacketFormat &format,
               ConfigStore &store);
+    ~AgentNode();
+    AgentNode(const AgentNode &) = delete;
+    AgentNode &operator=(const AgentNode &) = delete;
 
     std::optional<Error> start();
 
--- a/src/node/balancernode.cpp
+++ b/src/node/balancernode.cpp
@@ -65,6 +65,8 @@
 BalancerNode::~BalancerNode()
 {
     store_.cancelWatches();
+    registrationThread_.reset();
+    registration_.withdraw();
 }
 
 std::optional<Error> BalancerNode::start()
--- a/src/node/balancernode.h
+++ b/src/node/balancernode.h
@@ -31,6 +31,8 @@
                  std::string tableKey,
                  TableWatcher::Decoder decode);
     ~BalancerNode();
+    BalancerNode(const BalancerNode &) = delete;
+    BalancerNode &operator=(const BalancerNode &) = delete;
 
     std::optional<Error> start();
 
--- a/src/node/nodereport.cpp
+++ b/src/node/nodereport.cpp
@@ -50,6 +50,8 @@
         "dropped_no_target_total", "New flows before the first reports", &RelayBalancerCounters::droppedNoTarget},
     CounterRow<RelayBalancerCounters> {
         "dropped_no_flow_total", "Packets of flows without any agent to ask", &RelayBalancerCounters::droppedNoFlow},
+    CounterRow<RelayBalancerCounters> {
+        "flows_lost_total", "Flows reset since no target holds them", &RelayBalancerCounters::flowsLost},
     CounterRow<RelayBalancerCounters> {
         "tables_from_peers_total", "Tables fetched from other balancers", &RelayBalancerCounters::tablesFromPeers},
 };
@@ -74,10 +76,10 @@
     CounterRow<RelayAgentCounters> {
         "searches_delivered_total", "Searched packets delivered", &RelayAgentCounters::searchesDelivered},
     CounterRow<RelayAgentCounters> {
-        "searches_ignored_total", "Searched packets of other targets", &RelayAgentCounters::searchesIgnored},
-    CounterRow<RelayAgentCounters> {"resets_ended_target_total",
-                                    "Flows reset since their target ended",
-                                    &RelayAgentCounters::resetsForEndedTargets},
+        "searches_absent_total", "Searches for flows of other targets", &RelayAgentCounters::searchesAbsent},
+    CounterRow<RelayAgentCounters> {"resets_dropped_total",
+                                    "Resets of the target for flows that it does not hold",
+                                    &RelayAgentCounters::resetsDropped},
     CounterRow<RelayAgentCounters> {
         "requests_finished_total", "Requests with an answer", &RelayAgentCounters::requestsFinished},
     CounterRow<RelayAgentCounters> {
--- a/src/node/peerregistration.cpp
+++ b/src/node/peerregistration.cpp
@@ -133,6 +133,18 @@
     return std::nullopt;
 }
 
+void PeerRegistration::withdraw()
+{
+    if (lease_ == LeaseId()) {
+        return;
+    }
+    if (const std::optional<Error> error = store_.revokeLease(lease_)) {
+        onLog_("entryNotWithdrawn", error->message);
+    }
+    lease_ = LeaseId();
+    registered_ = false;
+}
+
 void PeerRegistration::noteOutcome(const std::optional<Error> &error)
 {
     if (error && available_) {
--- a/src/node/peerregistration.h
+++ b/src/node/peerregistration.h
@@ -32,6 +32,9 @@
     /** Returns how long to wait before the next step. */
     Milliseconds step(Timestamp now);
 
+    /** Removes the entry at the end of the process, so that nobody waits for its reports. One try. */
+    void withdraw();
+
     bool isRegistered() const
     {
         return registered_;
--- a/src/relay/agentflow.h
+++ b/src/relay/agentflow.h
@@ -13,13 +13,14 @@
 struct AgentFlow : RecentFlow {
     PeerAddress balancer; ///< Sent the last packet of the flow; port 0 if none did since the agent started.
     bool open = false; ///< The target answered the opening packet.
+    /** Created by a searched packet: the target has not shown yet whether it holds the flow. */
+    bool probed = false;
     bool sentRequest = false;
     bool requestPending = false;
     bool requestInSlot = false; ///< The pending request found a free slot.
     bool callerClosed = false;
     bool targetClosed = false;
     std::uint32_t callerSequence = 0; ///< Next new byte of the caller.
-    std::uint32_t callerAcknowledged = 0;
     std::uint64_t targetStart = 0; ///< TargetStatus::starts() when the flow opened.
     Timestamp requestStarted;
 
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -1,5 +1,7 @@
 #include "relay/relayagent.h"
 
+#include "relay/relayflow.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -53,7 +55,7 @@
     , format_(format)
     , output_(output)
     , peers_(settings_.self)
-    , target_(settings_.reportInterval)
+    , target_(settings_.reportInterval, now)
     , group_(groupIdOf(settings_.group))
     , started_(now)
 {
@@ -61,6 +63,7 @@
 
 void RelayAgent::onPeerMessage(Timestamp now, const PeerAddress &from, const wire::relay::Message &message)
 {
+    target_.advance(now);
     if (message.has_forward()) {
         handleForward(now, from, message.forward());
     } else if (message.has_hello()) {
@@ -113,21 +116,45 @@
         openHere(now, from, forward, *head);
         return;
     }
-    AgentFlow *flow = flows_.find(head->flow);
-    if (search && flow == nullptr && !mayHoldUnknownFlows(now)) {
-        ++counters_.searchesIgnored;
+    if (search) {
+        handleSearch(now, from, forward, *head);
         return;
     }
-    if (search) {
-        ++counters_.searchesDelivered;
-        if (flow != nullptr && !flow->closed()) {
-            flow->balancer = from;
-            announceHeld(now, *flow, false);
-        }
+    const AgentFlow *flow = flows_.find(head->flow);
+    const bool ended = flow == nullptr ? state(now) == TargetState::Gone : isOfEndedTarget(now, *flow);
+    if (ended) {
+        ++counters_.returnedNotHeld;
+        forget(now, head->flow);
+        returnPacket(now, from, ReturnReason::NotHeld, forward.packet());
+        return;
     }
     deliver(now, from, forward.packet(), *head, forward.mode());
 }
 
+void RelayAgent::handleSearch(Timestamp now,
+                              const PeerAddress &from,
+                              const wire::relay::Forward &forward,
+                              const RelayPacket &head)
+{
+    AgentFlow *flow = flows_.find(head.flow);
+    const bool absent = flow == nullptr ? !mayHoldUnknownFlows(now) : isOfEndedTarget(now, *flow);
+    if (absent) {
+        ++counters_.searchesAbsent;
+        forget(now, head.flow);
+        answerFlow(now, from, head.flow, FlowPresence::Absent);
+        return;
+    }
+    ++counters_.searchesDelivered;
+    if (flow == nullptr) {
+        flow = &flows_.touch(now, head.flow);
+        flow->probed = true;
+        flow->targetStart = target_.starts();
+    } else if (!flow->probed && !flow->closed()) {
+        answerFlow(now, from, head.flow, FlowPresence::Held);
+    }
+    deliver(now, from, forward.packet(), head, valueOf(ForwardMode::Search));
+}
+
 void RelayAgent::openHere(Timestamp now,
                           const PeerAddress &from,
                           const wire::relay::Forward &forward,
@@ -161,14 +188,16 @@
                          std::uint32_t mode)
 {
     ++counters_.packetsIn;
-    AgentFlow *known = flows_.find(head.flow);
-    if (known != nullptr || mode == valueOf(ForwardMode::Open)) {
+    const bool known = flows_.find(head.flow) != nullptr;
+    if (known || mode == valueOf(ForwardMode::Open)) {
         AgentFlow &flow = flows_.touch(now, head.flow);
         flow.balancer = from;
-        if (known == nullptr) {
+        if (!known) {
             flow.targetStart = target_.starts();
         }
-        noteCallerPacket(now, flow, head);
+        if (!flow.probed) {
+            noteCallerPacket(now, flow, head);
+        }
     }
     format_.mark(packet, tagFor(from, mode));
     output_.sendToTarget(std::move(packet));
@@ -177,9 +206,6 @@
 void RelayAgent::noteCallerPacket(Timestamp now, AgentFlow &flow, const RelayPacket &head)
 {
     flow.callerClosed = flow.callerClosed || head.closing || head.reset;
-    if (head.acknowledging) {
-        flow.callerAcknowledged = head.acknowledgement;
-    }
     if (head.reset) {
         flow.targetClosed = true;
         endRequest(now, flow, false);
@@ -204,6 +230,7 @@
 
 void RelayAgent::onTargetPacket(Timestamp now, std::string_view packet)
 {
+    target_.advance(now);
     const std::optional<RelayPacket> head = format_.decode(packet, PacketOrigin::Target);
     if (!head) {
         ++counters_.malformed;
@@ -223,21 +250,20 @@
     const std::size_t index = head.tag >> ModeBits;
     AgentFlow *flow = flows_.find(head.flow);
     const bool ended = flow != nullptr && flow->closed();
-    const bool ofEarlierStart = flow != nullptr && flow->open && flow->targetStart != target_.starts();
-    const std::uint32_t acknowledged = flow != nullptr ? flow->callerAcknowledged : 0;
     if (flow != nullptr && !ended) {
         forget(now, head.flow);
     }
-    if (ofEarlierStart && !head.reset) {
-        // The target that held the flow has ended, so the caller can be told.
-        RelayPacket answered = head;
-        answered.acknowledgement = head.acknowledging ? head.acknowledgement : acknowledged;
-        ++counters_.resetsForEndedTargets;
-        output_.logDecision("flowOfEndedTarget", {{"flow", formatFlowTuple(head.flow)}, {"outcome", "reset"}});
-        output_.sendToCaller(head.flow.callerAddress, format_.makeReset(answered));
+    if (ended || head.reset) {
         return;
     }
-    if (ended || mode == valueOf(ForwardMode::Search) || index >= taggedBalancers_.size() || head.reset) {
+    if (mode == valueOf(ForwardMode::Search)) {
+        if (index < taggedBalancers_.size()) {
+            answerFlow(now, taggedBalancers_[index], head.flow, FlowPresence::Absent);
+        }
+        return;
+    }
+    if (index >= taggedBalancers_.size()) {
+        ++counters_.malformed;
         return;
     }
     format_.restore(packet);
@@ -249,15 +275,25 @@
 
 void RelayAgent::handleAnswer(Timestamp now, std::string packet, const RelayPacket &head)
 {
+    const AgentFlow *known = flows_.find(head.flow);
+    if (head.reset && (known == nullptr || known->probed)) {
+        // A target that does not listen yet resets what reaches it; the flow may be open at another target.
+        ++counters_.resetsDropped;
+        output_.logDecision("resetDropped", {{"flow", formatFlowTuple(head.flow)}, {"state", nameOf(state(now))}});
+        return;
+    }
     ++counters_.packetsOut;
     AgentFlow &flow = flows_.touch(now, head.flow);
     if (!flow.open) {
+        const bool probed = std::exchange(flow.probed, false);
         flow.open = true;
         flow.targetStart = target_.starts();
         if (head.opening) {
             ++counters_.flowsOpened;
         }
-        announceHeld(now, flow, head.opening);
+        if (flow.balancer.port != 0) {
+            answerFlow(now, flow.balancer, head.flow, probed ? FlowPresence::Held : FlowPresence::Opened);
+        }
     }
     flow.targetClosed = flow.targetClosed || head.closing || head.reset;
     if (head.payloadBytes > 0 || head.reset || head.closing) {
@@ -303,25 +339,22 @@
     output_.sendToPeer(to, message);
 }
 
-void RelayAgent::announceHeld(Timestamp now, const AgentFlow &flow, bool opened)
+void RelayAgent::answerFlow(Timestamp now,
+                            const PeerAddress &balancer,
+                            const FlowTuple &tuple,
+                            FlowPresence presence)
 {
-    if (flow.balancer.port == 0) {
-        return;
-    }
     wire::relay::Message message;
-    wire::relay::Held *held = message.mutable_held();
-    wire::relay::Flow *tuple = held->mutable_flow();
-    tuple->set_caller_address(flow.tuple.callerAddress);
-    tuple->set_caller_port(flow.tuple.callerPort);
-    tuple->set_service_address(flow.tuple.serviceAddress);
-    tuple->set_service_port(flow.tuple.servicePort);
-    held->set_opened(opened);
-    fillLoad(now, *held->mutable_load());
-    output_.sendToPeer(flow.balancer, message);
+    wire::relay::FlowAnswer *answer = message.mutable_flow_answer();
+    *answer->mutable_flow() = toRelayFlow(tuple);
+    answer->set_presence(static_cast<std::uint32_t>(presence));
+    fillLoad(now, *answer->mutable_load());
+    output_.sendToPeer(balancer, message);
 }
 
 void RelayAgent::onTargetReport(Timestamp now, const TargetReport &report)
 {
+    target_.advance(now);
     const TargetStatus::Change change = target_.report(now, report);
     if (change == TargetStatus::Change::Outdated) {
         ++counters_.reportsOutdated;
@@ -368,6 +401,7 @@
 
 void RelayAgent::onTick(Timestamp now)
 {
+    target_.advance(now);
     const TargetState current = state(now);
     if (current != reportedState_) {
         output_.logDecision("targetStateReported",
@@ -457,9 +491,14 @@
     return static_cast<std::uint32_t>(opening_.size());
 }
 
+bool RelayAgent::isOfEndedTarget(Timestamp now, const AgentFlow &flow) const
+{
+    return state(now) == TargetState::Gone || (flow.open && flow.targetStart != target_.starts());
+}
+
 bool RelayAgent::mayHoldUnknownFlows(Timestamp now) const
 {
-    return !sawTargetStart_ && now - started_ < FlowRetention;
+    return !sawTargetStart_ && now - started_ < FlowRetention && state(now) != TargetState::Gone;
 }
 
 std::uint32_t RelayAgent::tagFor(const PeerAddress &balancer, std::uint32_t mode)
@@ -483,6 +522,18 @@
     }
 }
 
+void RelayAgent::finishLeave(Timestamp now)
+{
+    wire::relay::Message message;
+    wire::relay::Hello *hello = message.mutable_hello();
+    *hello->mutable_sender() = toWire(settings_.self);
+    hello->set_leaving(true);
+    hello->set_target_ended(target_.state(now) == TargetState::Gone);
+    for (const PeerBook::Entry *balancer : peers_.withRole(PeerRole::Balancer)) {
+        output_.sendToPeer(balancer->peer.address, message);
+    }
+}
+
 bool RelayAgent::mayExit(Timestamp now) const
 {
     if (!leaving_) {
--- a/src/relay/relayagent.h
+++ b/src/relay/relayagent.h
@@ -38,8 +38,8 @@
     std::uint64_t returnedNotHeld = 0;
     std::uint64_t returnedWrongGroup = 0;
     std::uint64_t searchesDelivered = 0;
-    std::uint64_t searchesIgnored = 0;
-    std::uint64_t resetsForEndedTargets = 0;
+    std::uint64_t searchesAbsent = 0;
+    std::uint64_t resetsDropped = 0; ///< Resets of the target for flows that it does not hold.
     std::uint64_t requestsFinished = 0;
     std::uint64_t requestsAbandoned = 0;
     std::uint64_t reportsOutdated = 0;
@@ -70,6 +70,9 @@
     /** The agent stops: it takes no new flow. */
     void beginLeave(Timestamp now);
 
+    /** Tells the balancers that the process ends now. */
+    void finishLeave(Timestamp now);
+
     /** True when a stop cuts off no request, or the longest wait for that is over. */
     bool mayExit(Timestamp now) const;
 
@@ -108,11 +111,17 @@
     void endRequest(Timestamp now, AgentFlow &flow, bool answered);
     void forget(Timestamp now, const FlowTuple &tuple);
     void returnPacket(Timestamp now, const PeerAddress &to, ReturnReason reason, std::string packet);
-    void announceHeld(Timestamp now, const AgentFlow &flow, bool opened);
+    void answerFlow(Timestamp now, const PeerAddress &balancer, const FlowTuple &tuple, FlowPresence presence);
+    void handleSearch(Timestamp now,
+                      const PeerAddress &from,
+                      const wire::relay::Forward &forward,
+                      const RelayPacket &head);
     void sweepFlows(Timestamp now);
     void sendReports(Timestamp now);
     void fillLoad(Timestamp now, wire::relay::Load &load);
     std::uint32_t openingFlows(Timestamp now);
+    /** Whether the target has ended since the flow opened. */
+    bool isOfEndedTarget(Timestamp now, const AgentFlow &flow) const;
     /** Whether the target can hold a flow that the agent has no record of. */
     bool mayHoldUnknownFlows(Timestamp now) const;
     std::uint32_t tagFor(const PeerAddress &balancer, std::uint32_t mode);
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -1,5 +1,7 @@
 #include "relay/relaybalancer.h"
 
+#include "relay/relayflow.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -23,22 +25,19 @@
 constexpr Milliseconds SweepInterval(1000);
 // Agents report within a second of the first contact; until then a new balancer does not know all targets.
 constexpr Milliseconds LearningPeriod(1500);
+// Other balancers name agents that the store has lost within one interval of their messages.
+constexpr Milliseconds ShortLearningPeriod(700);
+// When the store cannot be read, other balancers and the agents themselves have named all agents after this time.
+constexpr Milliseconds LongLearningPeriod(10000);
+// An agent that sends no report for this long has ended, or its VM is cut off; callers gave up long ago.
+constexpr Milliseconds SilenceOfDead(5000);
+// Callers repeat a packet at most 1.6 s later, which starts a new search.
+constexpr Milliseconds SearchRetention(2000);
 // One request for each round trip is enough even when several peers announce a newer table.
 constexpr Milliseconds TableRequestInterval(100);
 // Share of a caller's time limit that a request may wait for a slot, in percent.
 constexpr std::int64_t AcceptedWaitPercent = 50;
 
-FlowTuple fromWire(const wire::relay::Flow &flow)
-{
-    FlowTuple tuple;
-    tuple.callerAddress = flow.caller_address();
-    tuple.callerPort = static_cast<std::uint16_t>(flow.caller_port());
-    tuple.serviceAddress = flow.service_address();
-    tuple.servicePort = static_cast<std::uint16_t>(flow.service_port());
-    tuple.protocol = Protocol::Tcp;
-    return tuple;
-}
-
 } // namespace
 
 RelayBalancer::RelayBalancer(RelayBalancerSettings settings,
@@ -52,12 +51,14 @@
     , targets_(settings_.self.availabilityZone)
     , placement_(settings_.randomSeed)
     , flows_(settings_.flowLimit)
+    , pauses_(now)
     , started_(now)
 {
 }
 
 void RelayBalancer::onCallerPacket(Timestamp now, std::string_view packet)
 {
+    pauses_.advance(now);
     ++counters_.packetsIn;
     const std::optional<RelayPacket> head = format_.decode(packet, PacketOrigin::Caller);
     if (!head || head->returned) {
@@ -86,13 +87,15 @@
         return;
     }
     OwnedFlow *flow = flows_.find(head->flow);
-    if (flow == nullptr || flow->owner.port == 0 || targets_.find(flow->owner) == nullptr) {
-        search(now, *service, packet, PeerAddress());
+    const KnownTarget *owner =
+        flow == nullptr || flow->owner.port == 0 ? nullptr : targets_.find(flow->owner);
+    if (owner == nullptr || pauses_.silence(now, owner->heard) >= SilenceOfDead) {
+        search(now, *service, *head, packet, PeerAddress());
         return;
     }
     flows_.touch(now, head->flow);
     ++counters_.forwarded;
-    forward(flow->owner, targets_.find(flow->owner)->group, ForwardMode::Known, Milliseconds(0), packet);
+    forward(flow->owner, owner->group, ForwardMode::Known, Milliseconds(0), packet);
 }
 
 void RelayBalancer::open(Timestamp now,
@@ -174,19 +177,62 @@
 
 void RelayBalancer::search(Timestamp now,
                            const RelayedService &service,
+                           const RelayPacket &head,
                            std::string_view packet,
                            const PeerAddress &except)
 {
+    FlowSearch search {now, head, {}};
     bool sent = false;
     for (const WeightedGroup &group : service.groups) {
         for (const KnownTarget *target : targets_.ofGroup(group.id)) {
-            if (target->agent.address != except) {
-                forward(target->agent.address, group.id, ForwardMode::Search, Milliseconds(0), packet);
-                sent = true;
+            const PeerAddress &agent = target->agent.address;
+            sent = sent || agent == except;
+            if (agent == except) {
+                continue;
+            }
+            if (pauses_.silence(now, target->heard) < SilenceOfDead) {
+                search.unanswered.insert(agent);
             }
+            forward(agent, group.id, ForwardMode::Search, Milliseconds(0), packet);
+            sent = true;
         }
     }
-    ++(sent ? counters_.searches : counters_.droppedNoFlow);
+    if (!sent) {
+        ++counters_.droppedNoFlow;
+        return;
+    }
+    ++counters_.searches;
+    searches_[head.flow] = std::move(search);
+    concludeSearch(now, head.flow);
+}
+
+void RelayBalancer::concludeSearch(Timestamp now, const FlowTuple &tuple)
+{
+    const auto found = searches_.find(tuple);
+    if (found == searches_.end() || !found->second.unanswered.empty()) {
+        return;
+    }
+    const RelayPacket head = found->second.head;
+    searches_.erase(found);
+    const bool certain = knowsAllAgents(now);
+    output_.logDecision(
+        "flowLost",
+        {{"flow", formatFlowTuple(tuple)}, {"targets", std::to_string(targets_.size())}, {"outcome", certain ? "reset" : "dropped"}});
+    if (certain && !head.reset) {
+        ++counters_.flowsLost;
+        resetCaller(head);
+    }
+}
+
+bool RelayBalancer::knowsAllAgents(Timestamp now) const
+{
+    if (now - started_ < ShortLearningPeriod || (!peersRead_ && now - started_ < LongLearningPeriod)) {
+        return false;
+    }
+    const std::vector<const PeerBook::Entry *> agents = peers_.withRole(PeerRole::Agent);
+    return std::all_of(agents.begin(), agents.end(), [this](const PeerBook::Entry *entry) {
+        return targets_.find(entry->peer.address) != nullptr;
+    });
 }
 
 void RelayBalancer::resetCaller(const RelayPacket &head)
@@ -196,6 +242,7 @@
 
 void RelayBalancer::onPeerMessage(Timestamp now, const PeerAddress &from, const wire::relay::Message &message)
 {
+    pauses_.advance(now);
     switch (message.body_case()) {
     case wire::relay::Message::kReport:
         handleReport(now, from, message.report());
@@ -206,8 +253,8 @@
     case wire::relay::Message::kReturned:
         handleReturned(now, from, message.returned());
         break;
-    case wire::relay::Message::kHeld:
-        handleHeld(now, from, message.held());
+    case wire::relay::Message::kFlowAnswer:
+        handleFlowAnswer(now, from, message.flow_answer());
         break;
     case wire::relay::Message::kTableRequest:
         handleTableRequest(from, message.table_request());
@@ -225,7 +272,7 @@
 
 void RelayBalancer::handleReport(Timestamp now, const PeerAddress &from, const wire::relay::Report &report)
 {
-    const Peer agent = rhubarblane::fromWire(report.agent());
+    const Peer agent = fromWire(report.agent());
     if (agent.address != from || agent.name.empty() || agent.role != PeerRole::Agent) {
         ++counters_.malformed;
         return;
@@ -252,14 +299,18 @@
 
 void RelayBalancer::handleHello(Timestamp now, const PeerAddress &from, const wire::relay::Hello &hello)
 {
-    const Peer sender = rhubarblane::fromWire(hello.sender());
+    const Peer sender = fromWire(hello.sender());
     if (sender.address != from || sender.name.empty()) {
         ++counters_.malformed;
         return;
     }
     if (hello.leaving()) {
         peers_.remove(sender.id());
-        output_.logDecision("peerLeft", {{"peer", sender.name}});
+        if (hello.target_ended()) {
+            targets_.remove(sender.address);
+        }
+        output_.logDecision("peerLeft",
+                            {{"peer", sender.name}, {"targetEnded", hello.target_ended() ? "true" : "false"}});
         return;
     }
     const bool unknown = peers_.find(sender.id()) == nullptr;
@@ -267,7 +318,7 @@
         return;
     }
     for (const wire::relay::Peer &peer : hello.peers()) {
-        peers_.name(now, rhubarblane::fromWire(peer));
+        peers_.name(now, fromWire(peer));
     }
     if (unknown) {
         output_.logDecision("peerFound", {{"peer", sender.name}, {"from", "hello"}});
@@ -318,25 +369,35 @@
     const RelayedService *service = table_->find(head->flow);
     if (service != nullptr) {
         output_.logDecision("flowNotHeld", {{"flow", formatFlowTuple(head->flow)}, {"agent", formatPeerAddress(from)}});
-        search(now, *service, returned.packet(), from);
+        search(now, *service, *head, returned.packet(), from);
     }
 }
 
-void RelayBalancer::handleHeld(Timestamp now, const PeerAddress &from, const wire::relay::Held &held)
+void RelayBalancer::handleFlowAnswer(Timestamp now, const PeerAddress &from, const wire::relay::FlowAnswer &answer)
 {
-    targets_.updateLoad(now, from, held.load());
-    const FlowTuple tuple = fromWire(held.flow());
+    targets_.updateLoad(now, from, answer.load());
+    const FlowTuple tuple = fromRelayFlow(answer.flow());
+    if (answer.presence() == static_cast<std::uint32_t>(FlowPresence::Absent)) {
+        const auto search = searches_.find(tuple);
+        if (search != searches_.end()) {
+            search->second.unanswered.erase(from);
+            concludeSearch(now, tuple);
+        }
+        return;
+    }
+    searches_.erase(tuple);
+    const bool opened = answer.presence() == static_cast<std::uint32_t>(FlowPresence::Opened);
     OwnedFlow &flow = flows_.touch(now, tuple);
-    if (held.opened()) {
+    if (opened) {
         ++counters_.flowsOpened;
         openTimes_.add(now - flow.firstSeen);
     }
     const KnownTarget *target = targets_.find(from);
-    output_.logDecision(held.opened() ? "flowOpened" : "flowFound",
+    output_.logDecision(opened ? "flowOpened" : "flowFound",
                         {{"flow", formatFlowTuple(tuple)},
                          {"agent", target == nullptr ? formatPeerAddress(from) : target->agent.name},
                          {"offers", std::to_string(flow.history.tried.size())},
-                         {"busy", std::to_string(held.load().busy())},
+                         {"busy", std::to_string(answer.load().busy())},
                          {"waitedMs", std::to_string((now - flow.firstSeen).count())}});
     flow.owner = from;
     flow.offered = false;
@@ -360,6 +421,7 @@
 
 void RelayBalancer::onPeersNamed(Timestamp now, const std::vector<Peer> &peers)
 {
+    peersRead_ = true;
     for (const Peer &peer : peers) {
         if (peer.name != settings_.self.name && peers_.find(peer.id()) == nullptr) {
             output_.logDecision("peerFound", {{"peer", peer.name}, {"from", "store"}});
@@ -371,6 +433,7 @@
 
 void RelayBalancer::onTick(Timestamp now)
 {
+    pauses_.advance(now);
     while (!offers_.empty() && now - offers_.front().second >= OfferTimeout) {
         const auto [tuple, offeredAt] = offers_.front();
         offers_.pop_front();
@@ -389,6 +452,9 @@
     }
     nextSweep_ = now + SweepInterval;
     flows_.expire(now, FlowRetention, [](const OwnedFlow &) {});
+    for (auto search = searches_.begin(); search != searches_.end();) {
+        search = now - search->second.started > SearchRetention ? searches_.erase(search) : std::next(search);
+    }
     for (const Peer &agent : targets_.expire(now)) {
         output_.logDecision("targetForgotten", {{"agent", agent.name}});
     }
--- a/src/relay/relaybalancer.h
+++ b/src/relay/relaybalancer.h
@@ -6,6 +6,7 @@
 #include "relay/flowplacement.h"
 #include "relay/ownedflow.h"
 #include "relay/packetformat.h"
+#include "relay/pausedetector.h"
 #include "relay/peerbook.h"
 #include "relay/recentflows.h"
 #include "relay/relayoutput.h"
@@ -15,8 +16,10 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -47,6 +50,7 @@
     std::uint64_t droppedNoTable = 0;
     std::uint64_t droppedNoTarget = 0;
     std::uint64_t droppedNoFlow = 0;
+    std::uint64_t flowsLost = 0;
     std::uint64_t tablesFromPeers = 0;
 };
 
@@ -108,17 +112,33 @@
     }
 
 private:
+    /** A packet of an open flow that all agents of the service got. */
+    struct FlowSearch {
+        Timestamp started;
+        RelayPacket head;
+        /** Agents that have not denied the flow. */
+        std::set<PeerAddress> unanswered;
+    };
+
     void handleReport(Timestamp now, const PeerAddress &from, const wire::relay::Report &report);
     void handleHello(Timestamp now, const PeerAddress &from, const wire::relay::Hello &hello);
     void handleReturned(Timestamp now, const PeerAddress &from, const wire::relay::Returned &returned);
-    void handleHeld(Timestamp now, const PeerAddress &from, const wire::relay::Held &held);
+    void handleFlowAnswer(Timestamp now, const PeerAddress &from, const wire::relay::FlowAnswer &answer);
     void handleTableRequest(const PeerAddress &from, const wire::relay::TableRequest &request);
 
     void open(Timestamp now, const RelayedService &service, const RelayPacket &head, std::string_view packet);
     void offerNext(Timestamp now, OwnedFlow &flow, std::string_view reason);
     void refuse(Timestamp now, const OwnedFlow &flow, std::string_view reason);
     void forward(const PeerAddress &agent, GroupId group, ForwardMode mode, Milliseconds wait, std::string_view packet);
-    void search(Timestamp now, const RelayedService &service, std::string_view packet, const PeerAddress &except);
+    /** Sends a packet of an open flow to all agents that may hold it; `except` is known not to. */
+    void search(Timestamp now,
+                const RelayedService &service,
+                const RelayPacket &head,
+                std::string_view packet,
+                const PeerAddress &except);
+    /** Resets the caller when all agents said that they do not hold the flow. */
+    void concludeSearch(Timestamp now, const FlowTuple &tuple);
+    bool knowsAllAgents(Timestamp now) const;
     void resetCaller(const RelayPacket &head);
     void sendHellos(Timestamp now);
     void fillHello(Timestamp now, wire::relay::Hello &hello) const;
@@ -132,6 +152,8 @@
     FlowPlacement placement_;
     RecentFlows<OwnedFlow> flows_;
     std::deque<std::pair<FlowTuple, Timestamp>> offers_;
+    std::unordered_map<FlowTuple, FlowSearch> searches_;
+    PauseDetector pauses_;
     std::optional<ServiceTable> table_;
     TableAssembler assembler_;
     RelayBalancerCounters counters_;
@@ -141,6 +163,7 @@
     Timestamp nextSeedContact_;
     Timestamp nextSweep_;
     Timestamp nextTableRequest_;
+    bool peersRead_ = false;
     bool leaving_ = false;
     bool ending_ = false;
 };
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -46,6 +46,13 @@
     WrongGroup = 4, ///< The agent serves another group.
 };
 
+/** What an agent says of a flow. The values are on the wire. */
+enum class FlowPresence : std::uint8_t {
+    Opened = 0, ///< The target has just answered the opening packet.
+    Held = 1, ///< The answer to a search: the flow is here.
+    Absent = 2, ///< The answer to a search: the flow is certainly not here.
+};
+
 std::string nameOf(TargetState state);
 std::string nameOf(ReturnReason reason);
 
--- a/src/relay/targetdirectory.cpp
+++ b/src/relay/targetdirectory.cpp
@@ -42,8 +42,7 @@
     }
     if (inserted || replaced) {
         if (replaced) {
-            std::vector<PeerAddress> &members = groups_[target.group];
-            members.erase(std::remove(members.begin(), members.end(), agent.address), members.end());
+            removeFromGroup(target);
         }
         target = KnownTarget();
         target.group = groupId;
@@ -98,6 +97,21 @@
     }
 }
 
+void TargetDirectory::remove(const PeerAddress &agent)
+{
+    const auto found = targets_.find(agent);
+    if (found != targets_.end()) {
+        removeFromGroup(found->second);
+        targets_.erase(found);
+    }
+}
+
+void TargetDirectory::removeFromGroup(const KnownTarget &target)
+{
+    std::vector<PeerAddress> &members = groups_[target.group];
+    members.erase(std::remove(members.begin(), members.end(), target.agent.address), members.end());
+}
+
 std::vector<Peer> TargetDirectory::expire(Timestamp now)
 {
     std::vector<Peer> expired;
@@ -107,8 +121,7 @@
             continue;
         }
         expired.push_back(target->second.agent);
-        std::vector<PeerAddress> &members = groups_[target->second.group];
-        members.erase(std::remove(members.begin(), members.end(), target->first), members.end());
+        removeFromGroup(target->second);
         target = targets_.erase(target);
     }
     return expired;
--- a/src/relay/targetdirectory.h
+++ b/src/relay/targetdirectory.h
@@ -52,6 +52,9 @@
     void noteOffer(const PeerAddress &agent);
     void noteSilence(const PeerAddress &agent);
 
+    /** The agent has ended after its target. */
+    void remove(const PeerAddress &agent);
+
     /** Forgets targets without a report for the retention period and returns their agents. */
     std::vector<Peer> expire(Timestamp now);
 
@@ -74,6 +77,7 @@
     }
 
 private:
+    void removeFromGroup(const KnownTarget &target);
     static void apply(Timestamp now, KnownTarget &target, const wire::relay::Load &load);
 
     std::string availabilityZone_;
--- a/src/relay/targetstatus.cpp
+++ b/src/relay/targetstatus.cpp
@@ -6,15 +6,17 @@
 namespace
 {
 
-// Two reports in a row may be lost or late before the target counts as gone.
+// Two reports in a row may be lost or late before a target that sends no packets either counts as gone.
 constexpr int MissedReports = 3;
 // A live target on the same VM answers an opening packet within a millisecond; this leaves room for a busy processor.
 constexpr Milliseconds OpenAnswerTimeout(100);
 
 } // namespace
 
-TargetStatus::TargetStatus(Milliseconds reportInterval)
+TargetStatus::TargetStatus(Milliseconds reportInterval, Timestamp now)
     : reportInterval_(reportInterval)
+    , heard_(now)
+    , pauses_(now)
 {
 }
 
@@ -31,6 +33,7 @@
     const bool changed = report.draining != report_.draining || left_;
     report_ = report;
     reported_ = now;
+    heard_ = now;
     unanswered_.reset();
     left_ = false;
     if (newStart) {
@@ -51,6 +54,7 @@
 
 void TargetStatus::answered(Timestamp now)
 {
+    heard_ = now;
     unanswered_.reset();
 }
 
@@ -66,13 +70,13 @@
     if (!reported_) {
         return TargetState::Unknown;
     }
-    if (left_ || now - *reported_ > reportInterval_ * MissedReports) {
+    if (left_ || pauses_.silence(now, heard_) > reportInterval_ * MissedReports) {
         return TargetState::Gone;
     }
     if (report_.draining) {
         return TargetState::Draining;
     }
-    if (unanswered_ && now - *unanswered_ > OpenAnswerTimeout) {
+    if (unanswered_ && pauses_.silence(now, *unanswered_) > OpenAnswerTimeout) {
         return TargetState::Unresponsive;
     }
     return TargetState::Ready;
--- a/src/relay/targetstatus.h
+++ b/src/relay/targetstatus.h
@@ -2,6 +2,7 @@
 #define RHUBARBLANE_RELAY_TARGETSTATUS_H
 
 #include "base/clock.h"
+#include "relay/pausedetector.h"
 #include "relay/relaytypes.h"
 
 #include <cstdint>
@@ -36,7 +37,13 @@
         Outdated, ///< A late report, which changed nothing.
     };
 
-    explicit TargetStatus(Milliseconds reportInterval);
+    TargetStatus(Milliseconds reportInterval, Timestamp now);
+
+    /** Must be called with each event. */
+    void advance(Timestamp now)
+    {
+        pauses_.advance(now);
+    }
 
     Change report(Timestamp now, const TargetReport &report);
 
@@ -74,7 +81,10 @@
     Milliseconds reportInterval_;
     TargetReport report_;
     std::optional<Timestamp> reported_;
+    /** The last report or packet of the target. */
+    Timestamp heard_;
     std::optional<Timestamp> unanswered_;
+    PauseDetector pauses_;
     std::uint64_t starts_ = 0;
     bool left_ = false;
 };
--- a/src/runtime/udpsocket.cpp
+++ b/src/runtime/udpsocket.cpp
@@ -54,7 +54,7 @@
 
 UdpSocket::UdpSocket(int descriptor)
     : descriptor_(descriptor)
-    , buffer_(BatchSize * LargestDatagram)
+    , buffer_(new char[BatchSize * LargestDatagram])
     , outgoing_(BatchSize)
 {
 }
@@ -99,7 +99,7 @@
     std::array<iovec, BatchSize> vectors {};
     std::array<sockaddr_in, BatchSize> senders {};
     for (std::size_t i = 0; i < BatchSize; ++i) {
-        vectors[i].iov_base = buffer_.data() + i * LargestDatagram;
+        vectors[i].iov_base = buffer_.get() + i * LargestDatagram;
         vectors[i].iov_len = LargestDatagram;
         messages[i].msg_hdr.msg_iov = &vectors[i];
         messages[i].msg_hdr.msg_iovlen = 1;
--- a/src/runtime/udpsocket.h
+++ b/src/runtime/udpsocket.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -68,7 +69,8 @@
     };
 
     int descriptor_ = -1;
-    std::vector<char> buffer_;
+    /** Not initialized: most datagrams touch only the first page of their slot. */
+    std::unique_ptr<char[]> buffer_;
     std::vector<Outgoing> outgoing_;
     std::size_t queued_ = 0;
     UdpSocketCounters counters_;
--- /dev/null
+++ b/src/tests/relayagenttest.cpp
@@ -0,0 +1,297 @@
+#define BOOST_TEST_MODULE RelayAgent
+#include "tests/relayworld.h"
+
+using namespace rhubarblane;
+
+namespace
+{
+
+struct RelayAgentFixture {
+    RelayAgentFixture()
+    {
+        report(1, 5000);
+        output.clear();
+    }
+
+    void report(std::uint64_t sequence, std::int64_t started, bool draining = false, const std::string &id = "desk-1")
+    {
+        TargetReport report;
+        report.target = id;
+        report.group = "desk";
+        report.started = started;
+        report.sequence = sequence;
+        report.slots = 1;
+        report.draining = draining;
+        agent.onTargetReport(now, report);
+    }
+
+    void forward(const std::string &packet,
+                 ForwardMode mode,
+                 std::uint32_t acceptedWait = 0,
+                 const std::string &group = "desk")
+    {
+        wire::relay::Message message;
+        message.mutable_forward()->set_group(groupIdOf(group).value());
+        message.mutable_forward()->set_mode(static_cast<std::uint32_t>(mode));
+        message.mutable_forward()->set_accepted_wait_ms(acceptedWait);
+        message.mutable_forward()->set_packet(packet);
+        agent.onPeerMessage(now, balancer, message);
+    }
+
+    void open(const RelayCaller &caller)
+    {
+        forward(caller.opening(), ForwardMode::Open);
+        agent.onTargetPacket(now, caller.answer(true, 0));
+    }
+
+    /** The reason with which the last packet was returned; nothing if none was. */
+    std::optional<ReturnReason> returned() const
+    {
+        for (const auto &[peer, message] : output.toPeers) {
+            if (message.has_returned()) {
+                return static_cast<ReturnReason>(message.returned().reason());
+            }
+        }
+        return std::nullopt;
+    }
+
+    std::optional<FlowPresence> answered() const
+    {
+        std::optional<FlowPresence> presence;
+        for (const auto &[peer, message] : output.toPeers) {
+            if (message.has_flow_answer()) {
+                presence = static_cast<FlowPresence>(message.flow_answer().presence());
+            }
+        }
+        return presence;
+    }
+
+    /** Lets time pass without a pause of the process. */
+    void pass(std::int64_t milliseconds)
+    {
+        const Timestamp end = now + Milliseconds(milliseconds);
+        while (now < end) {
+            now = now + Milliseconds(20);
+            agent.onTick(now);
+        }
+    }
+
+    Timestamp now {100000};
+    PlainPacketFormat format;
+    RecordedOutput output;
+    PeerAddress balancer {0x0a000001, 7720};
+    RelayAgent agent {{relayPeer("agent-1", PeerRole::Agent, 9), "desk", Milliseconds(1000), {}}, now, format, output};
+    RelayCaller caller {40001};
+    RelayCaller other {40002};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RelayAgentTest, RelayAgentFixture)
+
+// Guards against a flow that no balancer learns of.
+BOOST_AUTO_TEST_CASE(agentWithFreeSlotOpensFlowAndTellsBalancer)
+{
+    open(caller);
+    BOOST_TEST(output.toTarget.size() == 1u);
+    BOOST_TEST(output.toCallers.size() == 1u);
+    BOOST_TEST((answered() == FlowPresence::Opened));
+}
+
+// Guards against new flows that wait behind a busy slot while other targets are free.
+BOOST_AUTO_TEST_CASE(agentWithBusySlotReturnsOfferThatMayNotWait)
+{
+    open(caller);
+    forward(caller.data(1), ForwardMode::Known);
+    output.clear();
+    forward(other.opening(), ForwardMode::Open, 0);
+    BOOST_TEST((returned() == ReturnReason::Busy));
+    BOOST_TEST(output.toTarget.empty());
+    forward(other.opening(), ForwardMode::Open, 500);
+    BOOST_TEST(output.toTarget.size() == 1u);
+}
+
+// Guards against several flows that open in one slot before the first request arrives.
+BOOST_AUTO_TEST_CASE(agentWithFlowThatJustOpenedCountsItsRequest)
+{
+    open(caller);
+    output.clear();
+    forward(other.opening(), ForwardMode::Open, 0);
+    BOOST_TEST((returned() == ReturnReason::Busy));
+    pass(100);
+    forward(other.opening(), ForwardMode::Open, 0);
+    BOOST_TEST(output.toTarget.size() == 1u);
+}
+
+// Guards against a slot that stays busy after the answer, or is counted twice for a repeated packet.
+BOOST_AUTO_TEST_CASE(meterWithRepeatedRequestPacketCountsOneRequest)
+{
+    open(caller);
+    forward(caller.data(1), ForwardMode::Known);
+    forward(caller.data(1), ForwardMode::Known);
+    BOOST_TEST(agent.meter().busy() == 1u);
+    agent.onTargetPacket(now, caller.answer(false, 50));
+    BOOST_TEST(agent.meter().busy() == 0u);
+    forward(caller.data(1), ForwardMode::Known);
+    BOOST_TEST(agent.meter().busy() == 0u);
+    forward(caller.data(101), ForwardMode::Known);
+    BOOST_TEST(agent.meter().busy() == 1u);
+}
+
+// Guards against a packet that reaches a target of another service at an address that is used again.
+BOOST_AUTO_TEST_CASE(agentWithPacketForOtherGroupReturnsIt)
+{
+    forward(caller.opening(), ForwardMode::Open, 500, "intake");
+    forward(caller.data(1), ForwardMode::Known, 0, "intake");
+    forward(caller.data(1), ForwardMode::Search, 0, "intake");
+    BOOST_TEST((returned() == ReturnReason::WrongGroup));
+    BOOST_TEST(output.toTarget.empty());
+}
+
+// Guards against new flows at a target that leaves, whatever the balancers know.
+BOOST_AUTO_TEST_CASE(agentWithDrainingTargetKeepsFlowsAndReturnsNewOnes)
+{
+    open(caller);
+    report(2, 5000, true);
+    output.clear();
+    forward(caller.data(1), ForwardMode::Known);
+    BOOST_TEST(output.toTarget.size() == 1u);
+    forward(other.opening(), ForwardMode::Open, 500);
+    BOOST_TEST((returned() == ReturnReason::NotReady));
+    BOOST_TEST(output.toTarget.size() == 1u);
+}
+
+// Guards against late reports that make a leaving target ready again.
+BOOST_AUTO_TEST_CASE(agentWithLateReportKeepsNewerState)
+{
+    report(3, 5000, true);
+    report(2, 5000, false);
+    BOOST_TEST((agent.state(now) == TargetState::Draining));
+    report(9, 4000, false, "desk-0");
+    BOOST_TEST((agent.state(now) == TargetState::Draining));
+    report(1, 6000, false);
+    BOOST_TEST((agent.state(now) == TargetState::Ready));
+}
+
+// Guards against flows of an earlier start that stay silent until their callers give up.
+BOOST_AUTO_TEST_CASE(agentWithRestartedTargetSaysFlowIsAbsent)
+{
+    open(caller);
+    report(1, 6000, false, "desk-2");
+    output.clear();
+    forward(caller.data(1), ForwardMode::Known);
+    BOOST_TEST((returned() == ReturnReason::NotHeld));
+    BOOST_TEST(output.toTarget.empty());
+    forward(caller.data(1), ForwardMode::Search);
+    BOOST_TEST((answered() == FlowPresence::Absent));
+}
+
+// Guards against a search that delivers packets to targets that cannot hold the flow.
+BOOST_AUTO_TEST_CASE(agentThatSawItsTargetStartDeniesUnknownFlow)
+{
+    forward(caller.data(1), ForwardMode::Search);
+    BOOST_TEST((answered() == FlowPresence::Absent));
+    BOOST_TEST(output.toTarget.empty());
+}
+
+// Guards against the loss of open flows when only the agent restarts.
+BOOST_AUTO_TEST_CASE(agentStartedBesideLivingTargetTriesTargetForUnknownFlow)
+{
+    RecordedOutput restartedOutput;
+    RelayAgent restarted(
+        {relayPeer("agent-1", PeerRole::Agent, 9), "desk", Milliseconds(1000), {}}, now, format, restartedOutput);
+    TargetReport living;
+    living.target = "desk-1";
+    living.group = "desk";
+    living.started = 5000;
+    living.sequence = 40;
+    restarted.onTargetReport(now, living);
+    wire::relay::Message message;
+    message.mutable_forward()->set_group(groupIdOf("desk").value());
+    message.mutable_forward()->set_mode(static_cast<std::uint32_t>(ForwardMode::Search));
+    message.mutable_forward()->set_packet(caller.data(1));
+    restarted.onPeerMessage(now, balancer, message);
+    message.mutable_forward()->set_packet(other.data(1));
+    restarted.onPeerMessage(now, balancer, message);
+    BOOST_REQUIRE(restartedOutput.toTarget.size() == 2u);
+
+    restarted.onTargetPacket(now, caller.answer(false, 50));
+    restarted.onTargetPacket(now, RelayCaller::returned(restartedOutput.toTarget[1]));
+    std::vector<FlowPresence> presences;
+    for (const auto &[peer, sent] : restartedOutput.toPeers) {
+        if (sent.has_flow_answer()) {
+            presences.push_back(static_cast<FlowPresence>(sent.flow_answer().presence()));
+        }
+    }
+    BOOST_REQUIRE(presences.size() == 2u);
+    BOOST_TEST((presences[0] == FlowPresence::Held));
+    BOOST_TEST((presences[1] == FlowPresence::Absent));
+}
+
+// Guards against a reset of an open flow by a target that starts: seen as FLOW on dryer-book, scale-1, seed 155637112533.
+BOOST_AUTO_TEST_CASE(agentWithResetForFlowThatItsTargetDoesNotHoldDropsIt)
+{
+    RecordedOutput freshOutput;
+    RelayAgent fresh(
+        {relayPeer("agent-1", PeerRole::Agent, 9), "desk", Milliseconds(1000), {}}, now, format, freshOutput);
+    wire::relay::Message message;
+    message.mutable_forward()->set_group(groupIdOf("desk").value());
+    message.mutable_forward()->set_mode(static_cast<std::uint32_t>(ForwardMode::Search));
+    message.mutable_forward()->set_packet(caller.data(1));
+    fresh.onPeerMessage(now, balancer, message);
+    fresh.onTargetPacket(now, caller.answer(false, 0, true));
+    fresh.onTargetPacket(now, other.answer(false, 0, true));
+    BOOST_TEST(freshOutput.toCallers.empty());
+    BOOST_TEST(fresh.counters().resetsDropped == 2u);
+}
+
+// Guards against resets of live flows by an agent that was frozen and has not read its messages yet.
+BOOST_AUTO_TEST_CASE(agentAfterPauseDoesNotTakeItsTargetForGone)
+{
+    open(caller);
+    now = now + Milliseconds(8000);
+    output.clear();
+    forward(caller.data(1), ForwardMode::Known);
+    BOOST_TEST(output.toTarget.size() == 1u);
+    BOOST_TEST(!returned().has_value());
+}
+
+// Guards against callers that wait for a target that crashed while its agent lives.
+BOOST_AUTO_TEST_CASE(agentWithoutReportsOrPacketsTakesTargetForGone)
+{
+    open(caller);
+    pass(3200);
+    BOOST_TEST((agent.state(now) == TargetState::Gone));
+    output.clear();
+    forward(caller.data(1), ForwardMode::Search);
+    BOOST_TEST((answered() == FlowPresence::Absent));
+}
+
+// Guards against new flows that are lost at a target that accepts nothing any more.
+BOOST_AUTO_TEST_CASE(agentWithUnansweredOpeningPacketTakesNoMoreFlows)
+{
+    forward(caller.opening(), ForwardMode::Open);
+    pass(140);
+    output.clear();
+    forward(other.opening(), ForwardMode::Open, 500);
+    BOOST_TEST((returned() == ReturnReason::NotReady));
+    agent.onTargetPacket(now, caller.answer(true, 0));
+    BOOST_TEST((agent.state(now) == TargetState::Ready));
+}
+
+// Guards against a graceful stop that cuts off a request, and against one that never ends.
+BOOST_AUTO_TEST_CASE(agentThatLeavesWaitsForRequestInFlight)
+{
+    open(caller);
+    forward(caller.data(1), ForwardMode::Known);
+    agent.beginLeave(now);
+    pass(1000);
+    BOOST_TEST(!agent.mayExit(now));
+    agent.onTargetPacket(now, caller.answer(false, 50));
+    BOOST_TEST(agent.mayExit(now));
+    forward(caller.data(101), ForwardMode::Known);
+    pass(2000);
+    BOOST_TEST(agent.mayExit(now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/tests/relaybalancertest.cpp
@@ -0,0 +1,291 @@
+#define BOOST_TEST_MODULE RelayBalancer
+#include "tests/relayworld.h"
+
+using namespace rhubarblane;
+
+namespace
+{
+
+struct RelayBalancerFixture {
+    RelayBalancerFixture()
+    {
+        balancer.onTable(now, relayTable(7), "test");
+    }
+
+    void report(const Peer &agent,
+                std::uint64_t sequence,
+                TargetState state = TargetState::Ready,
+                const std::string &group = "desk",
+                std::uint32_t busy = 0)
+    {
+        wire::relay::Message message;
+        wire::relay::Report *report = message.mutable_report();
+        *report->mutable_agent() = toWire(agent);
+        report->set_group(group);
+        report->mutable_load()->set_sequence(sequence);
+        report->mutable_load()->set_slots(2);
+        report->mutable_load()->set_busy(busy);
+        report->mutable_load()->set_state(static_cast<std::uint32_t>(state));
+        balancer.onPeerMessage(now, agent.address, message);
+    }
+
+    void returnPacket(const Peer &agent, std::uint64_t sequence, ReturnReason reason, const std::string &packet)
+    {
+        wire::relay::Message message;
+        wire::relay::Returned *returned = message.mutable_returned();
+        returned->set_reason(static_cast<std::uint32_t>(reason));
+        returned->mutable_load()->set_sequence(sequence);
+        returned->mutable_load()->set_slots(2);
+        returned->mutable_load()->set_busy(4);
+        returned->mutable_load()->set_state(static_cast<std::uint32_t>(TargetState::Ready));
+        returned->set_packet(packet);
+        balancer.onPeerMessage(now, agent.address, message);
+    }
+
+    void answer(const Peer &agent, const RelayCaller &caller, FlowPresence presence)
+    {
+        wire::relay::Message message;
+        wire::relay::FlowAnswer *answer = message.mutable_flow_answer();
+        answer->mutable_flow()->set_caller_address(caller.flow.callerAddress);
+        answer->mutable_flow()->set_caller_port(caller.flow.callerPort);
+        answer->mutable_flow()->set_service_address(caller.flow.serviceAddress);
+        answer->mutable_flow()->set_service_port(caller.flow.servicePort);
+        answer->set_presence(static_cast<std::uint32_t>(presence));
+        balancer.onPeerMessage(now, agent.address, message);
+    }
+
+    /** Agents to which packets were forwarded, in order. */
+    std::vector<PeerAddress> forwarded() const
+    {
+        std::vector<PeerAddress> result;
+        for (const auto &[peer, message] : output.toPeers) {
+            if (message.has_forward()) {
+                result.push_back(peer);
+            }
+        }
+        return result;
+    }
+
+    void pass(std::int64_t milliseconds)
+    {
+        const Timestamp end = now + Milliseconds(milliseconds);
+        while (now < end) {
+            now = now + Milliseconds(20);
+            balancer.onTick(now);
+        }
+    }
+
+    /** Both agents are known and all peers of the store were read. */
+    void learnAll()
+    {
+        balancer.onPeersNamed(now, {first, second});
+        report(first, 1);
+        report(second, 1);
+        pass(800);
+        report(first, 2);
+        report(second, 2);
+        output.clear();
+    }
+
+    Timestamp now {100000};
+    PlainPacketFormat format;
+    RecordedOutput output;
+    RelayBalancer balancer {{relayPeer("balancer-1", PeerRole::Balancer, 1), {}, 1000, 1}, now, format, output};
+    Peer first = relayPeer("agent-1", PeerRole::Agent, 11);
+    Peer second = relayPeer("agent-2", PeerRole::Agent, 12);
+    RelayCaller caller {40001};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RelayBalancerTest, RelayBalancerFixture)
+
+// Guards against flows to addresses that no operator declared.
+BOOST_AUTO_TEST_CASE(balancerWithPacketForUnknownServiceResetsOpeningOnly)
+{
+    learnAll();
+    caller.flow.servicePort = 8443;
+    balancer.onCallerPacket(now, caller.data(1));
+    BOOST_TEST(output.toCallers.empty());
+    balancer.onCallerPacket(now, caller.opening());
+    BOOST_TEST(output.toCallers.size() == 1u);
+    BOOST_TEST(forwarded().empty());
+}
+
+// Guards against a first caller that is refused since the first table has not arrived.
+BOOST_AUTO_TEST_CASE(balancerWithoutTableDropsPacketsAndIsNotReady)
+{
+    RecordedOutput freshOutput;
+    RelayBalancer fresh({relayPeer("balancer-2", PeerRole::Balancer, 2), {}, 1000, 1}, now, format, freshOutput);
+    fresh.onCallerPacket(now, caller.opening());
+    BOOST_TEST(freshOutput.toCallers.empty());
+    BOOST_TEST(!fresh.isReady());
+    fresh.onTable(now, relayTable(1), "test");
+    BOOST_TEST(fresh.isReady());
+}
+
+// Guards against a table that reverts.
+BOOST_AUTO_TEST_CASE(balancerWithOlderTableKeepsNewerOne)
+{
+    ServiceTable older = relayTable(6);
+    older.services.clear();
+    balancer.onTable(now, older, "peer");
+    BOOST_TEST(balancer.table()->version.value() == 7u);
+    BOOST_TEST(balancer.table()->services.size() == 1u);
+}
+
+// Guards against a flow that changes its target while it opens.
+BOOST_AUTO_TEST_CASE(balancerWithRepeatedOpeningPacketKeepsTarget)
+{
+    learnAll();
+    balancer.onCallerPacket(now, caller.opening());
+    balancer.onCallerPacket(now, caller.opening());
+    BOOST_REQUIRE(forwarded().size() == 2u);
+    BOOST_TEST((forwarded()[0] == forwarded()[1]));
+}
+
+// Guards against callers that wait for their own retransmission when an agent has died.
+BOOST_AUTO_TEST_CASE(balancerWithUnansweredOfferTriesNextTarget)
+{
+    learnAll();
+    balancer.onCallerPacket(now, caller.opening());
+    pass(60);
+    BOOST_REQUIRE(forwarded().size() == 2u);
+    BOOST_TEST((forwarded()[0] != forwarded()[1]));
+    BOOST_TEST(balancer.counters().offersUnanswered == 1u);
+}
+
+// Guards against a caller that waits when no target can serve it.
+BOOST_AUTO_TEST_CASE(balancerWithAllOffersReturnedResetsCaller)
+{
+    learnAll();
+    balancer.onCallerPacket(now, caller.opening());
+    std::uint64_t sequence = 10;
+    for (int i = 0; i < 5 && output.toCallers.empty(); ++i) {
+        const Peer &agent = forwarded().back() == first.address ? first : second;
+        returnPacket(agent, sequence++, ReturnReason::Busy, caller.opening());
+    }
+    BOOST_TEST(output.toCallers.size() == 1u);
+    BOOST_TEST(balancer.counters().refusedOverload == 1u);
+}
+
+// Guards against new flows at draining, unknown and silent targets.
+BOOST_AUTO_TEST_CASE(balancerWithOneUsableTargetOffersToItOnly)
+{
+    learnAll();
+    report(first, 3, TargetState::Draining);
+    for (std::uint16_t port = 1; port <= 20; ++port) {
+        balancer.onCallerPacket(now, RelayCaller(port).opening());
+    }
+    for (const PeerAddress &agent : forwarded()) {
+        BOOST_TEST((agent == second.address));
+    }
+}
+
+// Guards against packets of one flow that reach other targets while the owner is known.
+BOOST_AUTO_TEST_CASE(balancerWithKnownOwnerForwardsToItOnly)
+{
+    learnAll();
+    answer(second, caller, FlowPresence::Opened);
+    report(second, 5, TargetState::Draining);
+    balancer.onCallerPacket(now, caller.data(1));
+    BOOST_REQUIRE(forwarded().size() == 1u);
+    BOOST_TEST((forwarded()[0] == second.address));
+}
+
+// Guards against broken flows after the fabric moved them to another balancer.
+BOOST_AUTO_TEST_CASE(balancerWithUnknownFlowAsksAllAgentsOfGroup)
+{
+    learnAll();
+    report(relayPeer("agent-9", PeerRole::Agent, 19), 1, TargetState::Ready, "intake");
+    output.clear();
+    balancer.onCallerPacket(now, caller.data(1));
+    BOOST_TEST(forwarded().size() == 2u);
+    answer(first, caller, FlowPresence::Held);
+    output.clear();
+    balancer.onCallerPacket(now, caller.data(101));
+    BOOST_REQUIRE(forwarded().size() == 1u);
+    BOOST_TEST((forwarded()[0] == first.address));
+}
+
+// Guards against callers that wait for a target that has ended.
+BOOST_AUTO_TEST_CASE(balancerWithFlowThatAllAgentsDenyResetsCaller)
+{
+    learnAll();
+    balancer.onCallerPacket(now, caller.data(1));
+    answer(first, caller, FlowPresence::Absent);
+    BOOST_TEST(output.toCallers.empty());
+    answer(second, caller, FlowPresence::Absent);
+    BOOST_REQUIRE(output.toCallers.size() == 1u);
+    BOOST_TEST(PlainPacketFormat::bytesOf(output.toCallers[0]).sequence == 7000u);
+}
+
+// Guards against the reset of an open flow whose agent is not known yet.
+BOOST_AUTO_TEST_CASE(balancerThatMissesAnAgentDoesNotResetFlow)
+{
+    learnAll();
+    balancer.onPeersNamed(now, {relayPeer("agent-3", PeerRole::Agent, 13)});
+    balancer.onCallerPacket(now, caller.data(1));
+    answer(first, caller, FlowPresence::Absent);
+    answer(second, caller, FlowPresence::Absent);
+    BOOST_TEST(output.toCallers.empty());
+    BOOST_TEST(output.decided("flowLost"));
+}
+
+// Guards against the reset of an open flow whose agent restarts: its silence is no denial.
+BOOST_AUTO_TEST_CASE(balancerWithSilentAgentDoesNotResetFlow)
+{
+    learnAll();
+    for (int second = 0; second < 3; ++second) {
+        pass(1000);
+        report(first, 10 + static_cast<std::uint64_t>(second));
+    }
+    balancer.onCallerPacket(now, caller.data(1));
+    answer(first, caller, FlowPresence::Absent);
+    BOOST_TEST(output.toCallers.empty());
+}
+
+// Guards against resets of live flows by a balancer that was frozen and has not read its messages yet.
+BOOST_AUTO_TEST_CASE(balancerAfterPauseDoesNotTakeAgentsForDead)
+{
+    learnAll();
+    answer(first, caller, FlowPresence::Opened);
+    now = now + Milliseconds(9000);
+    output.clear();
+    balancer.onCallerPacket(now, caller.data(1));
+    BOOST_TEST(output.toCallers.empty());
+    BOOST_TEST(!forwarded().empty());
+}
+
+// Guards against a late report of a process that was replaced at the same address.
+BOOST_AUTO_TEST_CASE(balancerWithReportOfEarlierStartKeepsLaterOne)
+{
+    learnAll();
+    Peer restarted = first;
+    restarted.incarnation = 2000;
+    report(restarted, 1, TargetState::Draining);
+    report(first, 50, TargetState::Ready);
+    BOOST_TEST((balancer.targets().find(first.address)->state == TargetState::Draining));
+}
+
+// Guards against tables that stay old where the store turns a balancer away.
+BOOST_AUTO_TEST_CASE(balancerWithNewerTableAtPeerFetchesIt)
+{
+    const Peer peer = relayPeer("balancer-2", PeerRole::Balancer, 2);
+    wire::relay::Message hello;
+    *hello.mutable_hello()->mutable_sender() = toWire(peer);
+    hello.mutable_hello()->set_table_version(9);
+    balancer.onPeerMessage(now, peer.address, hello);
+    const bool asked = std::any_of(output.toPeers.begin(), output.toPeers.end(), [](const auto &sent) {
+        return sent.second.has_table_request();
+    });
+    BOOST_TEST(asked);
+    for (const wire::relay::TablePart &part : splitTable(relayTable(9))) {
+        wire::relay::Message message;
+        *message.mutable_table_part() = part;
+        balancer.onPeerMessage(now, peer.address, message);
+    }
+    BOOST_TEST(balancer.table()->version.value() == 9u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
