--- a/src/tests/relayagenttest.cpp
+++ b/src/tests/relayagenttest.cpp
@@ -38,10 +38,10 @@
         agent.onPeerMessage(now, balancer, message);
     }
 
-    void open(const RelayCaller &caller)
+    void open(const RelayCaller &of)
     {
-        forward(caller.opening(), ForwardMode::Open);
-        agent.onTargetPacket(now, caller.answer(true, 0));
+        forward(of.opening(), ForwardMode::Open);
+        agent.onTargetPacket(now, of.answer(true, 0));
     }
 
     /** The reason with which the last packet was returned; nothing if none was. */
--- a/src/tests/relaybalancertest.cpp
+++ b/src/tests/relaybalancertest.cpp
@@ -42,14 +42,14 @@
         balancer.onPeerMessage(now, agent.address, message);
     }
 
-    void answer(const Peer &agent, const RelayCaller &caller, FlowPresence presence)
+    void answer(const Peer &agent, const RelayCaller &of, FlowPresence presence)
     {
         wire::relay::Message message;
         wire::relay::FlowAnswer *answer = message.mutable_flow_answer();
-        answer->mutable_flow()->set_caller_address(caller.flow.callerAddress);
-        answer->mutable_flow()->set_caller_port(caller.flow.callerPort);
-        answer->mutable_flow()->set_service_address(caller.flow.serviceAddress);
-        answer->mutable_flow()->set_service_port(caller.flow.servicePort);
+        answer->mutable_flow()->set_caller_address(of.flow.callerAddress);
+        answer->mutable_flow()->set_caller_port(of.flow.callerPort);
+        answer->mutable_flow()->set_service_address(of.flow.serviceAddress);
+        answer->mutable_flow()->set_service_port(of.flow.servicePort);
         answer->set_presence(static_cast<std::uint32_t>(presence));
         balancer.onPeerMessage(now, agent.address, message);
     }
@@ -236,9 +236,9 @@
 BOOST_AUTO_TEST_CASE(balancerWithSilentAgentDoesNotResetFlow)
 {
     learnAll();
-    for (int second = 0; second < 3; ++second) {
+    for (std::uint64_t sequence = 10; sequence < 13; ++sequence) {
         pass(1000);
-        report(first, 10 + static_cast<std::uint64_t>(second));
+        report(first, sequence);
     }
     balancer.onCallerPacket(now, caller.data(1));
     answer(first, caller, FlowPresence::Absent);
