--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -28,12 +28,6 @@
 {
 }
 
-AgentNode::~AgentNode()
-{
-    registrationThread_.reset();
-    registration_.withdraw();
-}
-
 std::optional<Error> AgentNode::start()
 {
     const std::optional<Error> error =
@@ -78,6 +72,12 @@
     return done.has_value();
 }
 
+void AgentNode::stop()
+{
+    registrationThread_.reset();
+    registration_.withdraw();
+}
+
 std::string AgentNode::metrics()
 {
     return loop_.call([this] { return agentMetrics(core_, sockets_, loop_.now()); }).value_or(std::string());
--- a/src/node/agentnode.h
+++ b/src/node/agentnode.h
@@ -26,12 +26,12 @@
               EventLoop &loop,
               const PacketFormat &format,
               ConfigStore &store);
-    ~AgentNode();
-    AgentNode(const AgentNode &) = delete;
-    AgentNode &operator=(const AgentNode &) = delete;
 
     std::optional<Error> start();
 
+    /** Ends the threads and withdraws the entry in the store. Call it after the loop has ended. */
+    void stop();
+
     /** Acts on a status report of the target; false if the process ends. Any thread but the loop's. */
     bool report(const TargetReport &report);
 
--- a/src/node/balancernode.cpp
+++ b/src/node/balancernode.cpp
@@ -62,13 +62,6 @@
 {
 }
 
-BalancerNode::~BalancerNode()
-{
-    store_.cancelWatches();
-    registrationThread_.reset();
-    registration_.withdraw();
-}
-
 std::optional<Error> BalancerNode::start()
 {
     const std::optional<Error> error =
@@ -106,6 +99,14 @@
     }
 }
 
+void BalancerNode::stop()
+{
+    store_.cancelWatches();
+    watcherThread_.reset();
+    registrationThread_.reset();
+    registration_.withdraw();
+}
+
 std::string BalancerNode::metrics()
 {
     return loop_.call([this] { return balancerMetrics(core_, sockets_); }).value_or(std::string());
--- a/src/node/balancernode.h
+++ b/src/node/balancernode.h
@@ -30,12 +30,12 @@
                  ConfigStore &store,
                  std::string tableKey,
                  TableWatcher::Decoder decode);
-    ~BalancerNode();
-    BalancerNode(const BalancerNode &) = delete;
-    BalancerNode &operator=(const BalancerNode &) = delete;
 
     std::optional<Error> start();
 
+    /** Ends the threads and withdraws the entry in the store. Call it after the loop has ended. */
+    void stop();
+
     /** May be called on any thread. */
     bool isReady() const
     {
