Ask agents for a flow's owner instead of sending them its packets

A late second answer to an opening packet took the flow from its owner. Change: short greetings that name peers in turn; a query without the packet, which waits for the answer; the first opened target keeps the flow; report interval by the number of balancers; a search must know all agents when it begins; new peers are greeted at once; watches last longer in larger fleets.

--- a/src/node/balancernode.cpp
+++ b/src/node/balancernode.cpp
@@ -74,7 +74,7 @@
     }
     loop_.onTick([this](Timestamp now) { tick(now); });
     loop_.onTerminate([this] { terminate(); });
-    watcherThread_ = std::make_unique<SteppedThread>([this] { return watcher_.step(); });
+    watcherThread_ = std::make_unique<SteppedThread>([this] { return watcher_.step(balancersHeard_ + 1); });
     registrationThread_ = std::make_unique<SteppedThread>([this] { return registration_.step(loop_.now()); });
     return std::nullopt;
 }
@@ -83,6 +83,7 @@
 {
     core_.onTick(now);
     ready_ = core_.isReady();
+    balancersHeard_ = core_.balancersHeard();
     if (exitAt_ && now >= *exitAt_) {
         core_.finishLeave(now);
         loop_.stop();
--- a/src/node/balancernode.h
+++ b/src/node/balancernode.h
@@ -59,6 +59,7 @@
     PeerRegistration registration_;
     TableWatcher watcher_;
     std::atomic<bool> ready_ = false;
+    std::atomic<std::size_t> balancersHeard_ = 0;
     std::optional<Timestamp> exitAt_;
     std::unique_ptr<SteppedThread> registrationThread_;
     std::unique_ptr<SteppedThread> watcherThread_;
--- a/src/node/tablewatcher.cpp
+++ b/src/node/tablewatcher.cpp
@@ -9,8 +9,12 @@
 namespace
 {
 
-// A connection that has gone silent hides changes for at most one wait; a table must be in force within 3 s.
-constexpr Milliseconds LongestWait(2500);
+// A connection that has gone silent hides changes until a new one is made. Somewhere in the fleet one is made about
+// every second, and the other balancers learn of a newer table within another half; it must be in force within 3 s.
+constexpr Milliseconds WaitPerBalancer(1250);
+constexpr Milliseconds ShortestWait(2500);
+// Below the 30 s that the store allows.
+constexpr Milliseconds LongestWait(25000);
 constexpr Milliseconds RetryInterval(300);
 
 } // namespace
@@ -28,9 +32,14 @@
 {
 }
 
-Milliseconds TableWatcher::step()
+Milliseconds TableWatcher::step(std::size_t balancers)
 {
-    const std::optional<Error> error = seen_ == Revision() ? readAll() : waitForChange();
+    const Milliseconds longest =
+        std::clamp(WaitPerBalancer * static_cast<std::int64_t>(balancers), ShortestWait, LongestWait);
+    // Jitter spreads the connections of balancers that started together.
+    const Milliseconds wait(
+        std::uniform_int_distribution<std::int64_t>(longest.count() * 3 / 4, longest.count())(random_));
+    const std::optional<Error> error = seen_ == Revision() ? readAll() : waitForChange(wait);
     noteOutcome(error);
     return error ? RetryInterval : Milliseconds(0);
 }
@@ -50,10 +59,9 @@
     return std::nullopt;
 }
 
-std::optional<Error> TableWatcher::waitForChange()
+std::optional<Error> TableWatcher::waitForChange(Milliseconds wait)
 {
-    const Outcome<std::vector<StoredChange>> changes =
-        store_.watch(key_, Revision(seen_.value() + 1), LongestWait);
+    const Outcome<std::vector<StoredChange>> changes = store_.watch(key_, Revision(seen_.value() + 1), wait);
     if (!isOk(changes)) {
         // Only a full read shows what changed meanwhile: the history may have been dropped.
         seen_ = Revision();
--- a/src/node/tablewatcher.h
+++ b/src/node/tablewatcher.h
@@ -6,7 +6,9 @@
 #include "relay/servicetable.h"
 #include "store/configstore.h"
 
+#include <cstddef>
 #include <functional>
+#include <random>
 #include <string>
 
 namespace rhubarblane
@@ -23,12 +25,12 @@
     /** `store` must outlive the watcher. */
     TableWatcher(ConfigStore &store, std::string key, Decoder decode, TableHandler onTable, LogHandler onLog);
 
-    /** Returns how long to wait before the next step. */
-    Milliseconds step();
+    /** Returns how long to wait before the next step. `balancers` follow the table, this one included. */
+    Milliseconds step(std::size_t balancers);
 
 private:
     std::optional<Error> readAll();
-    std::optional<Error> waitForChange();
+    std::optional<Error> waitForChange(Milliseconds wait);
     void apply(const std::string &value, Revision modified);
     void noteOutcome(const std::optional<Error> &error);
 
@@ -39,6 +41,7 @@
     LogHandler onLog_;
     /** Changes up to this revision are known; Revision() before the first full read. */
     Revision seen_;
+    std::mt19937_64 random_ {std::random_device {}()};
     bool available_ = true;
 };
 
--- /dev/null
+++ b/src/relay/flowsearches.cpp
@@ -0,0 +1,60 @@
+#include "relay/flowsearches.h"
+
+#include <iterator>
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+// Callers have at most 16 packets in flight.
+constexpr std::size_t WaitingPackets = 16;
+// A round trip between availability zones takes 3 ms; the rest is for agents that wait for their share of a processor.
+constexpr Milliseconds AnswerTimeout(60);
+// Callers repeat a packet at most 1.6 s later, which starts a new search.
+constexpr Milliseconds Retention(2000);
+
+} // namespace
+
+FlowSearch *FlowSearches::find(const FlowTuple &tuple)
+{
+    const auto found = searches_.find(tuple);
+    return found == searches_.end() ? nullptr : &found->second;
+}
+
+FlowSearch &FlowSearches::start(Timestamp now, const RelayPacket &head, std::string_view packet)
+{
+    FlowSearch &search = searches_[head.flow];
+    search = FlowSearch {now, head, false, {}, {}};
+    addPacket(search, head, packet);
+    return search;
+}
+
+void FlowSearches::addPacket(FlowSearch &search, const RelayPacket &head, std::string_view packet)
+{
+    search.head = head;
+    if (search.packets.size() < WaitingPackets) {
+        search.packets.emplace_back(packet);
+    }
+}
+
+void FlowSearches::erase(const FlowTuple &tuple)
+{
+    searches_.erase(tuple);
+}
+
+bool FlowSearches::isOverdue(Timestamp now, const FlowSearch &search)
+{
+    return now - search.started >= AnswerTimeout;
+}
+
+void FlowSearches::expire(Timestamp now)
+{
+    for (auto search = searches_.begin(); search != searches_.end();) {
+        search = now - search->second.started > Retention ? searches_.erase(search) : std::next(search);
+    }
+}
+
+} // namespace rhubarblane
--- a/src/relay/peerbook.cpp
+++ b/src/relay/peerbook.cpp
@@ -1,6 +1,5 @@
 #include "relay/peerbook.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace rhubarblane
@@ -11,7 +10,7 @@
 
 // Three times the interval at which the store is read, so that one failed read forgets nobody.
 constexpr Milliseconds Retention(15000);
-// Four intervals of the slowest message between peers.
+// Two intervals of the slowest message between peers.
 constexpr Milliseconds RecentlyHeard(4000);
 // A start of the same name with a lower number is accepted when the earlier one has been silent for this time: the
 // time of day of a VM can go back between two starts.
@@ -62,10 +61,10 @@
     return true;
 }
 
-void PeerBook::name(Timestamp now, const Peer &peer)
+bool PeerBook::name(Timestamp now, const Peer &peer)
 {
     if (peer.name == self_.name) {
-        return;
+        return false;
     }
     const auto [position, inserted] = entries_.try_emplace(peer.id(), Entry {peer, std::nullopt, now});
     Entry &entry = position->second;
@@ -73,6 +72,7 @@
     if (peer.incarnation > entry.peer.incarnation) {
         entry.peer = peer;
     }
+    return inserted;
 }
 
 void PeerBook::remove(PeerId peer)
@@ -111,7 +111,7 @@
     return result;
 }
 
-std::vector<const PeerBook::Entry *> PeerBook::recentlyHeard(Timestamp now, std::size_t limit) const
+std::vector<const PeerBook::Entry *> PeerBook::recentlyHeard(Timestamp now) const
 {
     std::vector<const Entry *> result;
     for (const auto &[id, entry] : entries_) {
@@ -119,8 +119,6 @@
             result.push_back(&entry);
         }
     }
-    std::sort(result.begin(), result.end(), [](const Entry *a, const Entry *b) { return *b->heard < *a->heard; });
-    result.resize(std::min(result.size(), limit));
     return result;
 }
 
--- a/src/relay/peerbook.h
+++ b/src/relay/peerbook.h
@@ -58,8 +58,8 @@
     /** A message of the peer itself arrived. Returns false for a message of an earlier start. */
     bool hear(Timestamp now, const Peer &peer);
 
-    /** The store or another process names the peer. */
-    void name(Timestamp now, const Peer &peer);
+    /** The store or another process names the peer. Returns true if it was not known. */
+    bool name(Timestamp now, const Peer &peer);
 
     /** The peer said that it stops. */
     void remove(PeerId peer);
@@ -71,8 +71,8 @@
 
     std::vector<const Entry *> withRole(PeerRole role) const;
 
-    /** Peers that this process heard itself a moment ago, at most `limit`, the last heard first. */
-    std::vector<const Entry *> recentlyHeard(Timestamp now, std::size_t limit) const;
+    /** Peers that this process heard itself a moment ago. */
+    std::vector<const Entry *> recentlyHeard(Timestamp now) const;
 
 private:
     void removeOthersAt(const Peer &peer);
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -1,6 +1,7 @@
 #include "relay/relayagent.h"
 
 #include "relay/relayflow.h"
+#include "relay/reportinterval.h"
 
 #include <algorithm>
 #include <utility>
@@ -11,10 +12,9 @@
 namespace
 {
 
-// Each balancer hears four times within the second after which it places nothing on a silent agent.
-constexpr Milliseconds ReportInterval(250);
-// With more balancers the interval grows so that an agent sends at most this many reports a second.
-constexpr std::int64_t ReportsPerSecond = 64;
+// With more balancers the interval of reports grows so that an agent sends at most this many a second: at 61 agents, a
+// balancer with 0.028 of a core spends a tenth of it on reports.
+constexpr std::int64_t ReportsPerSecond = 40;
 // As often as a lost first contact should delay a start without the store.
 constexpr Milliseconds SeedContactInterval(1000);
 // The caller's request follows its SYN by one way to the caller and back, 6 ms in the reference deployments.
@@ -66,6 +66,8 @@
     target_.advance(now);
     if (message.has_forward()) {
         handleForward(now, from, message.forward());
+    } else if (message.has_flow_query()) {
+        handleFlowQuery(now, from, message.flow_query());
     } else if (message.has_hello()) {
         handleHello(now, from, message.hello());
     } else {
@@ -136,25 +138,45 @@
                               const wire::relay::Forward &forward,
                               const RelayPacket &head)
 {
-    AgentFlow *flow = flows_.find(head.flow);
-    const bool absent = flow == nullptr ? !mayHoldUnknownFlows(now) : isOfEndedTarget(now, *flow);
-    if (absent) {
-        ++counters_.searchesAbsent;
-        forget(now, head.flow);
-        answerFlow(now, from, head.flow, FlowPresence::Absent);
+    const FlowPresence presence = presenceOf(now, head.flow);
+    if (presence == FlowPresence::Absent) {
+        answerFlow(now, from, head.flow, presence);
         return;
     }
     ++counters_.searchesDelivered;
-    if (flow == nullptr) {
-        flow = &flows_.touch(now, head.flow);
-        flow->probed = true;
-        flow->targetStart = target_.starts();
-    } else if (!flow->probed && !flow->closed()) {
-        answerFlow(now, from, head.flow, FlowPresence::Held);
+    if (flows_.find(head.flow) == nullptr) {
+        AgentFlow &flow = flows_.touch(now, head.flow);
+        flow.probed = true;
+        flow.targetStart = target_.starts();
+    } else if (presence == FlowPresence::Held) {
+        answerFlow(now, from, head.flow, presence);
     }
     deliver(now, from, forward.packet(), head, valueOf(ForwardMode::Search));
 }
 
+void RelayAgent::handleFlowQuery(Timestamp now, const PeerAddress &from, const wire::relay::FlowQuery &query)
+{
+    const FlowTuple tuple = fromRelayFlow(query.flow());
+    const bool ours = GroupId(query.group()) == group_;
+    const FlowPresence presence = ours ? presenceOf(now, tuple) : FlowPresence::Absent;
+    if (presence == FlowPresence::Held) {
+        flows_.touch(now, tuple).balancer = from;
+    }
+    answerFlow(now, from, tuple, presence);
+}
+
+FlowPresence RelayAgent::presenceOf(Timestamp now, const FlowTuple &tuple)
+{
+    const AgentFlow *flow = flows_.find(tuple);
+    const bool absent = flow == nullptr ? !mayHoldUnknownFlows(now) : isOfEndedTarget(now, *flow);
+    if (absent) {
+        ++counters_.searchesAbsent;
+        forget(now, tuple);
+        return FlowPresence::Absent;
+    }
+    return flow == nullptr || flow->probed ? FlowPresence::Uncertain : FlowPresence::Held;
+}
+
 void RelayAgent::openHere(Timestamp now,
                           const PeerAddress &from,
                           const wire::relay::Forward &forward,
@@ -451,6 +473,9 @@
     report->set_group(settings_.group);
     fillLoad(now, *report->mutable_load());
     const std::vector<const PeerBook::Entry *> balancers = peers_.withRole(PeerRole::Balancer);
+    const Milliseconds spread(static_cast<std::int64_t>(balancers.size()) * 1000 / ReportsPerSecond);
+    const Milliseconds interval = std::clamp(spread, ShortestReportInterval, LongestReportInterval);
+    report->set_interval_ms(static_cast<std::uint32_t>(interval.count()));
     for (const PeerBook::Entry *balancer : balancers) {
         output_.sendToPeer(balancer->peer.address, message);
     }
@@ -466,8 +491,7 @@
             }
         }
     }
-    const auto count = static_cast<std::int64_t>(balancers.size());
-    nextReport_ = now + std::max(ReportInterval, Milliseconds(count * 1000 / ReportsPerSecond));
+    nextReport_ = now + interval;
 }
 
 void RelayAgent::fillLoad(Timestamp now, wire::relay::Load &load)
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -13,11 +13,15 @@
 {
 
 // A newer table must reach balancers that the store turns away within the 3 s of the platform, with one lost datagram.
-constexpr Milliseconds HelloInterval(500);
-// With more peers the interval grows so that a balancer sends at most this many a second.
+constexpr Milliseconds BalancerHelloInterval(500);
+// Half of the time after which a peer does not count as heard any more.
+constexpr Milliseconds AgentHelloInterval(2000);
+// With more peers the intervals grow so that a balancer sends at most this many a second.
 constexpr std::int64_t HellosPerSecond = 100;
-// Names of a few other processes are enough to find the rest within seconds.
-constexpr std::size_t PeersPerHello = 24;
+// Messages of about 300 bytes: 84 of 1,300 bytes at once filled a link of 10 Mbit/s for 90 ms.
+constexpr std::size_t PeersPerHello = 4;
+// To a process that has just been found.
+constexpr std::size_t PeersPerFirstHello = 24;
 constexpr Milliseconds SeedContactInterval(1000);
 // A round trip between availability zones takes 3 ms; the rest is for an agent that waits for its share of a processor.
 constexpr Milliseconds OfferTimeout(40);
@@ -32,8 +36,6 @@
 constexpr Milliseconds LongLearningPeriod(10000);
 // An agent that sends no report for this long has ended, or its VM is cut off; callers gave up long ago.
 constexpr Milliseconds SilenceOfDead(5000);
-// Callers repeat a packet at most 1.6 s later, which starts a new search.
-constexpr Milliseconds SearchRetention(2000);
 // One request for each round trip is enough even when several peers announce a newer table.
 constexpr Milliseconds TableRequestInterval(100);
 // Share of a caller's time limit that a request may wait for a slot, in percent.
@@ -183,40 +185,48 @@
                            std::string_view packet,
                            const PeerAddress &except)
 {
-    FlowSearch search {now, head, {}};
-    bool sent = false;
+    FlowSearch *pending = searches_.find(head.flow);
+    if (pending != nullptr && !FlowSearches::isOverdue(now, *pending)) {
+        FlowSearches::addPacket(*pending, head, packet);
+        return;
+    }
+    FlowSearch &search = searches_.start(now, head, packet);
+    search.asksAll = knowsAllAgents(now);
+    bool anyAgent = false;
+    wire::relay::Message message;
+    *message.mutable_flow_query()->mutable_flow() = toRelayFlow(head.flow);
     for (const WeightedGroup &group : service.groups) {
+        message.mutable_flow_query()->set_group(group.id.value());
         for (const KnownTarget *target : targets_.ofGroup(group.id)) {
+            anyAgent = true;
             const PeerAddress &agent = target->agent.address;
-            sent = sent || agent == except;
             if (agent == except) {
                 continue;
             }
             if (pauses_.silence(now, target->heard) < SilenceOfDead) {
                 search.unanswered.insert(agent);
             }
-            forward(agent, group.id, ForwardMode::Search, Milliseconds(0), packet);
-            sent = true;
+            output_.sendToPeer(agent, message);
         }
     }
-    if (!sent) {
+    if (!anyAgent) {
         ++counters_.droppedNoFlow;
+        searches_.erase(head.flow);
         return;
     }
     ++counters_.searches;
-    searches_[head.flow] = std::move(search);
     concludeSearch(now, head.flow);
 }
 
 void RelayBalancer::concludeSearch(Timestamp now, const FlowTuple &tuple)
 {
-    const auto found = searches_.find(tuple);
-    if (found == searches_.end() || !found->second.unanswered.empty()) {
+    const FlowSearch *search = searches_.find(tuple);
+    if (search == nullptr || !search->unanswered.empty()) {
         return;
     }
-    const RelayPacket head = found->second.head;
-    searches_.erase(found);
-    const bool certain = knowsAllAgents(now);
+    const RelayPacket head = search->head;
+    const bool certain = search->asksAll;
+    searches_.erase(tuple);
     output_.logDecision(
         "flowLost",
         {{"flow", formatFlowTuple(tuple)}, {"targets", std::to_string(targets_.size())}, {"outcome", certain ? "reset" : "dropped"}});
@@ -283,7 +293,7 @@
     if (!peers_.hear(now, agent)) {
         return;
     }
-    if (targets_.report(now, agent, report.group(), report.load())) {
+    if (targets_.report(now, agent, report)) {
         const KnownTarget *target = targets_.find(from);
         output_.logDecision("targetKnown",
                             {{"agent", agent.name},
@@ -294,7 +304,7 @@
     }
     if (unknown) {
         wire::relay::Message message;
-        fillHello(now, *message.mutable_hello());
+        fillHello(now, *message.mutable_hello(), PeersPerFirstHello);
         output_.sendToPeer(from, message);
     }
 }
@@ -320,11 +330,13 @@
         return;
     }
     for (const wire::relay::Peer &peer : hello.peers()) {
-        peers_.name(now, fromWire(peer));
+        namePeer(now, fromWire(peer), "hello");
     }
     if (unknown) {
         output_.logDecision("peerFound", {{"peer", sender.name}, {"from", "hello"}});
-        nextHello_ = now;
+        wire::relay::Message message;
+        fillHello(now, *message.mutable_hello(), PeersPerFirstHello);
+        output_.sendToPeer(from, message);
     }
     const TableVersion theirs(hello.table_version());
     const TableVersion mine = table_ ? table_->version : TableVersion();
@@ -379,25 +391,63 @@
 {
     targets_.updateLoad(now, from, answer.load());
     const FlowTuple tuple = fromRelayFlow(answer.flow());
-    if (answer.presence() == static_cast<std::uint32_t>(FlowPresence::Absent)) {
-        const auto search = searches_.find(tuple);
-        if (search != searches_.end()) {
-            search->second.unanswered.erase(from);
-            concludeSearch(now, tuple);
-        }
+    if (answer.presence() > static_cast<std::uint32_t>(FlowPresence::Uncertain)) {
+        ++counters_.malformed;
         return;
     }
+    const auto presence = static_cast<FlowPresence>(answer.presence());
+    if (presence == FlowPresence::Absent || presence == FlowPresence::Uncertain) {
+        handleSearchAnswer(now, from, tuple, presence);
+        return;
+    }
+    const OwnedFlow *known = flows_.find(tuple);
+    if (presence == FlowPresence::Opened && known != nullptr && !known->offered && known->owner.port != 0) {
+        // A second target opened the flow after a late answer; callers keep the first one.
+        return;
+    }
+    setOwner(now, from, answer);
+    const KnownTarget *target = targets_.find(from);
+    const FlowSearch *search = searches_.find(tuple);
+    if (target != nullptr && search != nullptr) {
+        for (const std::string &packet : search->packets) {
+            ++counters_.forwarded;
+            forward(from, target->group, ForwardMode::Known, Milliseconds(0), packet);
+        }
+    }
     searches_.erase(tuple);
+}
+
+void RelayBalancer::handleSearchAnswer(Timestamp now,
+                                       const PeerAddress &from,
+                                       const FlowTuple &tuple,
+                                       FlowPresence presence)
+{
+    FlowSearch *search = searches_.find(tuple);
+    if (search == nullptr) {
+        return;
+    }
+    const KnownTarget *target = targets_.find(from);
+    if (presence == FlowPresence::Uncertain && target != nullptr) {
+        // The target's own answer to a packet of the flow decides.
+        forward(from, target->group, ForwardMode::Search, Milliseconds(0), search->packets.front());
+        return;
+    }
+    search->unanswered.erase(from);
+    concludeSearch(now, tuple);
+}
+
+void RelayBalancer::setOwner(Timestamp now, const PeerAddress &agent, const wire::relay::FlowAnswer &answer)
+{
     const bool opened = answer.presence() == static_cast<std::uint32_t>(FlowPresence::Opened);
-    OwnedFlow &flow = flows_.touch(now, tuple);
+    OwnedFlow &flow = flows_.touch(now, fromRelayFlow(answer.flow()));
     if (opened) {
         ++counters_.flowsOpened;
         openTimes_.add(now - flow.firstSeen);
     }
-    const KnownTarget *target = targets_.find(from);
+    const KnownTarget *target = targets_.find(agent);
     output_.logDecision(opened ? "flowOpened" : "flowFound",
-                        {{"flow", formatFlowTuple(tuple)},
-                         {"agent", target == nullptr ? formatPeerAddress(from) : target->agent.name},
+                        {{"flow", formatFlowTuple(flow.tuple)},
+                         {"agent", target == nullptr ? formatPeerAddress(agent) : target->agent.name},
                          {"offers", std::to_string(flow.history.tried.size())},
                          {"lastOffer", flow.history.lastOfferMade ? "true" : "false"},
                          {"believedRequests", std::to_string(flow.basis.requests)},
@@ -405,7 +455,7 @@
                          {"beliefAgeMs", std::to_string(flow.basis.age.count())},
                          {"busy", std::to_string(answer.load().busy())},
                          {"waitedMs", std::to_string((now - flow.firstSeen).count())}});
-    flow.owner = from;
+    flow.owner = agent;
     flow.offered = false;
     flow.history = OfferHistory();
     flow.openingPacket = std::string();
@@ -429,14 +479,22 @@
 {
     peersRead_ = true;
     for (const Peer &peer : peers) {
-        if (peer.name != settings_.self.name && peers_.find(peer.id()) == nullptr) {
-            output_.logDecision("peerFound", {{"peer", peer.name}, {"from", "store"}});
-            nextHello_ = now;
-        }
-        peers_.name(now, peer);
+        namePeer(now, peer, "store");
     }
 }
 
+void RelayBalancer::namePeer(Timestamp now, const Peer &peer, std::string_view source)
+{
+    if (!peers_.name(now, peer)) {
+        return;
+    }
+    // Agents report to balancers that they have heard of, so each new peer is greeted at once.
+    output_.logDecision("peerFound", {{"peer", peer.name}, {"from", std::string(source)}});
+    wire::relay::Message message;
+    fillHello(now, *message.mutable_hello(), PeersPerHello);
+    output_.sendToPeer(peer.address, message);
+}
+
 void RelayBalancer::onTick(Timestamp now)
 {
     pauses_.advance(now);
@@ -450,17 +508,14 @@
             offerNext(now, *flow, "unanswered");
         }
     }
-    if (now >= nextHello_) {
-        sendHellos(now);
-    }
+    sendHellos(now);
     if (now < nextSweep_) {
         return;
     }
     nextSweep_ = now + SweepInterval;
     flows_.expire(now, FlowRetention, [](const OwnedFlow &) {});
-    for (auto search = searches_.begin(); search != searches_.end();) {
-        search = now - search->second.started > SearchRetention ? searches_.erase(search) : std::next(search);
-    }
+    searches_.expire(now);
+    countBalancersHeard(now);
     for (const Peer &agent : targets_.expire(now)) {
         output_.logDecision("targetForgotten", {{"agent", agent.name}});
     }
@@ -471,41 +526,67 @@
 
 void RelayBalancer::sendHellos(Timestamp now)
 {
-    wire::relay::Message message;
-    fillHello(now, *message.mutable_hello());
-    std::vector<PeerAddress> receivers;
-    for (const PeerRole role : {PeerRole::Balancer, PeerRole::Agent}) {
-        for (const PeerBook::Entry *entry : peers_.withRole(role)) {
-            receivers.push_back(entry->peer.address);
-        }
+    if (now >= nextHello_) {
+        const auto balancers = static_cast<std::int64_t>(peers_.withRole(PeerRole::Balancer).size());
+        nextHello_ = now + std::max(BalancerHelloInterval, Milliseconds(balancers * 1000 / HellosPerSecond));
+        sendHellosTo(now, PeerRole::Balancer);
+    }
+    if (now >= nextAgentHello_) {
+        const auto agents = static_cast<std::int64_t>(peers_.withRole(PeerRole::Agent).size());
+        nextAgentHello_ = now + std::max(AgentHelloInterval, Milliseconds(agents * 1000 / HellosPerSecond));
+        sendHellosTo(now, PeerRole::Agent);
     }
-    const auto peers = static_cast<std::int64_t>(receivers.size());
     if (now >= nextSeedContact_) {
         nextSeedContact_ = now + SeedContactInterval;
-        std::copy_if(settings_.seeds.begin(),
-                     settings_.seeds.end(),
-                     std::back_inserter(receivers),
-                     [&](const PeerAddress &seed) {
-                         return seed != settings_.self.address
-                             && std::find(receivers.begin(), receivers.end(), seed) == receivers.end();
-                     });
-    }
-    for (const PeerAddress &receiver : receivers) {
-        output_.sendToPeer(receiver, message);
-    }
-    nextHello_ = now + std::max(HelloInterval, Milliseconds(peers * 1000 / HellosPerSecond));
+        contactSeeds(now);
+    }
 }
 
-void RelayBalancer::fillHello(Timestamp now, wire::relay::Hello &hello) const
+void RelayBalancer::sendHellosTo(Timestamp now, PeerRole role)
+{
+    wire::relay::Message message;
+    fillHello(now, *message.mutable_hello(), PeersPerHello);
+    for (const PeerBook::Entry *entry : peers_.withRole(role)) {
+        output_.sendToPeer(entry->peer.address, message);
+    }
+}
+
+void RelayBalancer::contactSeeds(Timestamp now)
+{
+    const std::vector<const PeerBook::Entry *> balancers = peers_.withRole(PeerRole::Balancer);
+    wire::relay::Message message;
+    fillHello(now, *message.mutable_hello(), PeersPerHello);
+    for (const PeerAddress &seed : settings_.seeds) {
+        const bool known = std::any_of(balancers.begin(), balancers.end(), [&](const PeerBook::Entry *entry) {
+            return entry->peer.address == seed;
+        });
+        if (!known && seed != settings_.self.address) {
+            output_.sendToPeer(seed, message);
+        }
+    }
+}
+
+void RelayBalancer::fillHello(Timestamp now, wire::relay::Hello &hello, std::size_t peers)
 {
     *hello.mutable_sender() = toWire(settings_.self);
     hello.set_table_version(table_ ? table_->version.value() : 0);
     hello.set_leaving(ending_);
-    for (const PeerBook::Entry *entry : peers_.recentlyHeard(now, PeersPerHello)) {
-        *hello.add_peers() = toWire(entry->peer);
+    const std::vector<const PeerBook::Entry *> heard = peers_.recentlyHeard(now);
+    for (std::size_t i = 0; i < std::min(peers, heard.size()); ++i) {
+        // Each message names others, so that all are named in turn.
+        *hello.add_peers() = toWire(heard[namedPeers_++ % heard.size()]->peer);
     }
 }
 
+void RelayBalancer::countBalancersHeard(Timestamp now)
+{
+    const std::vector<const PeerBook::Entry *> heard = peers_.recentlyHeard(now);
+    balancersHeard_ =
+        static_cast<std::size_t>(std::count_if(heard.begin(), heard.end(), [](const PeerBook::Entry *entry) {
+            return entry->peer.role == PeerRole::Balancer;
+        }));
+}
+
 Milliseconds RelayBalancer::acceptedWait(const RelayedService &service) const
 {
     return Milliseconds(service.timeout.count() * AcceptedWaitPercent / 100);
@@ -520,7 +601,8 @@
 void RelayBalancer::finishLeave(Timestamp now)
 {
     ending_ = true;
-    sendHellos(now);
+    sendHellosTo(now, PeerRole::Balancer);
+    sendHellosTo(now, PeerRole::Agent);
 }
 
 bool RelayBalancer::isReady() const
--- a/src/relay/relaybalancer.h
+++ b/src/relay/relaybalancer.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/latencyhistogram.h"
 #include "relay/flowplacement.h"
+#include "relay/flowsearches.h"
 #include "relay/ownedflow.h"
 #include "relay/packetformat.h"
 #include "relay/pausedetector.h"
@@ -16,10 +17,8 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -106,20 +105,18 @@
     {
         return openTimes_;
     }
+    /** Balancers that this one heard in the last seconds. */
+    std::size_t balancersHeard() const
+    {
+        return balancersHeard_;
+    }
+
     std::size_t flows() const
     {
         return flows_.size();
     }
 
 private:
-    /** A packet of an open flow that all agents of the service got. */
-    struct FlowSearch {
-        Timestamp started;
-        RelayPacket head;
-        /** Agents that have not denied the flow. */
-        std::set<PeerAddress> unanswered;
-    };
-
     void handleReport(Timestamp now, const PeerAddress &from, const wire::relay::Report &report);
     void handleHello(Timestamp now, const PeerAddress &from, const wire::relay::Hello &hello);
     void handleReturned(Timestamp now, const PeerAddress &from, const wire::relay::Returned &returned);
@@ -130,7 +127,7 @@
     void offerNext(Timestamp now, OwnedFlow &flow, std::string_view reason);
     void refuse(Timestamp now, const OwnedFlow &flow, std::string_view reason);
     void forward(const PeerAddress &agent, GroupId group, ForwardMode mode, Milliseconds wait, std::string_view packet);
-    /** Sends a packet of an open flow to all agents that may hold it; `except` is known not to. */
+    /** Asks all agents which of them holds an open flow; `except` is known not to. The packet waits for the answer. */
     void search(Timestamp now,
                 const RelayedService &service,
                 const RelayPacket &head,
@@ -138,10 +135,16 @@
                 const PeerAddress &except);
     /** Resets the caller when all agents said that they do not hold the flow. */
     void concludeSearch(Timestamp now, const FlowTuple &tuple);
+    void handleSearchAnswer(Timestamp now, const PeerAddress &from, const FlowTuple &tuple, FlowPresence presence);
+    void setOwner(Timestamp now, const PeerAddress &agent, const wire::relay::FlowAnswer &answer);
     bool knowsAllAgents(Timestamp now) const;
     void resetCaller(const RelayPacket &head);
+    void namePeer(Timestamp now, const Peer &peer, std::string_view source);
     void sendHellos(Timestamp now);
-    void fillHello(Timestamp now, wire::relay::Hello &hello) const;
+    void sendHellosTo(Timestamp now, PeerRole role);
+    void contactSeeds(Timestamp now);
+    void countBalancersHeard(Timestamp now);
+    void fillHello(Timestamp now, wire::relay::Hello &hello, std::size_t peers);
     Milliseconds acceptedWait(const RelayedService &service) const;
 
     RelayBalancerSettings settings_;
@@ -152,7 +155,7 @@
     FlowPlacement placement_;
     RecentFlows<OwnedFlow> flows_;
     std::deque<std::pair<FlowTuple, Timestamp>> offers_;
-    std::unordered_map<FlowTuple, FlowSearch> searches_;
+    FlowSearches searches_;
     PauseDetector pauses_;
     std::optional<ServiceTable> table_;
     TableAssembler assembler_;
@@ -160,6 +163,9 @@
     LatencyHistogram openTimes_;
     Timestamp started_;
     Timestamp nextHello_;
+    Timestamp nextAgentHello_;
+    std::size_t namedPeers_ = 0;
+    std::size_t balancersHeard_ = 0;
     Timestamp nextSeedContact_;
     Timestamp nextSweep_;
     Timestamp nextTableRequest_;
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -37,7 +37,7 @@
 enum class ForwardMode : std::uint8_t {
     Open = 0, ///< Opens a flow here if the target can take it.
     Known = 1, ///< The balancer believes that the flow is here.
-    Search = 2, ///< The balancer asks all agents of the group.
+    Search = 2, ///< Shows whether the target holds the flow; the agent was uncertain.
 };
 
 /** Why an agent returned a packet. The values are on the wire. */
@@ -54,6 +54,7 @@
     Opened = 0, ///< The target has just answered the opening packet.
     Held = 1, ///< The answer to a search: the flow is here.
     Absent = 2, ///< The answer to a search: the flow is certainly not here.
+    Uncertain = 3, ///< The answer to a search: only the target can tell.
 };
 
 std::string nameOf(TargetState state);
--- a/src/relay/targetdirectory.cpp
+++ b/src/relay/targetdirectory.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-// Four report intervals: three lost datagrams in a row are rarer than one in a million at 1% loss.
-constexpr Milliseconds SilenceOfUsable(1000);
+// Three lost datagrams in a row are rarer than one in a million at 1% loss.
+constexpr int MissedReports = 4;
 // Longer than the restart of an agent, whose target keeps its flows meanwhile.
 constexpr Milliseconds Retention(15000);
 
@@ -28,9 +28,9 @@
 {
 }
 
-bool TargetDirectory::report(Timestamp now, const Peer &agent, const std::string &group, const wire::relay::Load &load)
+bool TargetDirectory::report(Timestamp now, const Peer &agent, const wire::relay::Report &report)
 {
-    const GroupId groupId = groupIdOf(group);
+    const GroupId groupId = groupIdOf(report.group());
     const auto [position, inserted] = targets_.try_emplace(agent.address);
     KnownTarget &target = position->second;
     const bool replaced = !inserted && (target.agent.name != agent.name || target.group != groupId);
@@ -46,12 +46,14 @@
         }
         target = KnownTarget();
         target.group = groupId;
-        target.groupName = group;
+        target.groupName = report.group();
         groups_[groupId].push_back(agent.address);
     }
     target.agent = agent;
     target.sameZone = agent.availabilityZone == availabilityZone_;
-    apply(now, target, load);
+    target.reportInterval = std::clamp(
+        Milliseconds(report.interval_ms()), ShortestReportInterval, LongestReportInterval);
+    apply(now, target, report.load());
     return inserted || replaced || before != target.state;
 }
 
@@ -147,7 +149,7 @@
 
 bool TargetDirectory::isUsable(Timestamp now, const KnownTarget &target)
 {
-    return target.state == TargetState::Ready && !target.silent && now - target.heard < SilenceOfUsable;
+    return target.state == TargetState::Ready && !target.silent && now - target.heard < target.reportInterval * MissedReports;
 }
 
 } // namespace rhubarblane
--- a/src/relay/targetdirectory.h
+++ b/src/relay/targetdirectory.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "relay/peerbook.h"
 #include "relay/relaytypes.h"
+#include "relay/reportinterval.h"
 #include "wire/generated/relay.pb.h"
 
 #include <cstdint>
@@ -31,6 +32,7 @@
     double utilization = 0.0;
 
     Timestamp heard;
+    Milliseconds reportInterval = ShortestReportInterval;
     /** New flows of this balancer that the last load does not count yet. */
     std::uint32_t offered = 0;
     /** An offer had no answer, and nothing has been heard since. */
@@ -44,7 +46,7 @@
     explicit TargetDirectory(std::string availabilityZone);
 
     /** Returns true if the target is new or its state changed. */
-    bool report(Timestamp now, const Peer &agent, const std::string &group, const wire::relay::Load &load);
+    bool report(Timestamp now, const Peer &agent, const wire::relay::Report &report);
 
     /** A load that came with another message. Ignored if the target is unknown or the load is outdated. */
     void updateLoad(Timestamp now, const PeerAddress &agent, const wire::relay::Load &load);
--- a/src/tests/relayagenttest.cpp
+++ b/src/tests/relayagenttest.cpp
@@ -258,6 +258,28 @@
     BOOST_TEST((presences[1] == FlowPresence::Absent));
 }
 
+// Guards against questions that an agent answers wrongly: a denied flow is reset.
+BOOST_AUTO_TEST_CASE(agentAskedForFlowSaysWhetherItsTargetHoldsIt)
+{
+    open(caller);
+    const auto ask = [this](const RelayCaller &of, const std::string &group) {
+        output.clear();
+        wire::relay::Message message;
+        message.mutable_flow_query()->set_group(groupIdOf(group).value());
+        message.mutable_flow_query()->mutable_flow()->set_caller_address(of.flow.callerAddress);
+        message.mutable_flow_query()->mutable_flow()->set_caller_port(of.flow.callerPort);
+        message.mutable_flow_query()->mutable_flow()->set_service_address(of.flow.serviceAddress);
+        message.mutable_flow_query()->mutable_flow()->set_service_port(of.flow.servicePort);
+        agent.onPeerMessage(now, balancer, message);
+        return answered();
+    };
+    BOOST_TEST((ask(caller, "desk") == FlowPresence::Held));
+    BOOST_TEST((ask(caller, "intake") == FlowPresence::Absent));
+    BOOST_TEST((ask(other, "desk") == FlowPresence::Absent));
+    report(1, 6000, false, "desk-2");
+    BOOST_TEST((ask(caller, "desk") == FlowPresence::Absent));
+}
+
 // Guards against a reset of an open flow by a target that starts: seen as FLOW on dryer-book, scale-1, seed 155637112533.
 BOOST_AUTO_TEST_CASE(agentWithResetForFlowThatItsTargetDoesNotHoldDropsIt)
 {
