--- a/src/daemon/agentdaemon.h
+++ b/src/daemon/agentdaemon.h
@@ -2,14 +2,14 @@
 #define RHUBARBLANE_DAEMON_AGENTDAEMON_H
 
 #include "agent/agentcore.h"
-#include "runtime/durationsummary.h"
-#include "runtime/eventloop.h"
 #include "daemon/fabricio.h"
-#include "runtime/logs.h"
 #include "daemon/sealedtransport.h"
 #include "daemon/settings.h"
 #include "daemon/statusserver.h"
 #include "daemon/targetlink.h"
+#include "runtime/durationsummary.h"
+#include "runtime/eventloop.h"
+#include "runtime/logs.h"
 
 #include <cpprest/json.h>
 
--- a/src/daemon/agentreport.h
+++ b/src/daemon/agentreport.h
@@ -2,8 +2,8 @@
 #define RHUBARBLANE_DAEMON_AGENTREPORT_H
 
 #include "agent/agentcore.h"
-#include "runtime/metricstext.h"
 #include "daemon/targetlink.h"
+#include "runtime/metricstext.h"
 
 #include <cpprest/json.h>
 
--- a/src/daemon/balancerdaemon.h
+++ b/src/daemon/balancerdaemon.h
@@ -3,13 +3,13 @@
 
 #include "balancer/balancercore.h"
 #include "control/controlserver.h"
-#include "runtime/durationsummary.h"
-#include "runtime/eventloop.h"
 #include "daemon/fabricio.h"
-#include "runtime/logs.h"
 #include "daemon/sealedtransport.h"
 #include "daemon/settings.h"
 #include "membership/membershipcore.h"
+#include "runtime/durationsummary.h"
+#include "runtime/eventloop.h"
+#include "runtime/logs.h"
 
 #include <cpprest/json.h>
 
--- a/src/daemon/balancerreport.h
+++ b/src/daemon/balancerreport.h
@@ -3,8 +3,8 @@
 
 #include "balancer/balancercore.h"
 #include "control/controlsettings.h"
-#include "runtime/metricstext.h"
 #include "membership/membershipcore.h"
+#include "runtime/metricstext.h"
 
 #include <cpprest/json.h>
 
--- a/src/daemon/socketreport.h
+++ b/src/daemon/socketreport.h
@@ -1,8 +1,8 @@
 #ifndef RHUBARBLANE_DAEMON_SOCKETREPORT_H
 #define RHUBARBLANE_DAEMON_SOCKETREPORT_H
 
-#include "runtime/metricstext.h"
 #include "daemon/sealedtransport.h"
+#include "runtime/metricstext.h"
 #include "runtime/udpsocket.h"
 
 #include <cpprest/json.h>
--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -8,11 +8,8 @@
 namespace rhubarblane
 {
 
-AgentNode::AgentNode(const NodeSettings &settings,
-                     Peer self,
-                     EventLoop &loop,
-                     const PacketFormat &format,
-                     ConfigStore &store)
+AgentNode::AgentNode(
+    const NodeSettings &settings, Peer self, EventLoop &loop, const PacketFormat &format, ConfigStore &store)
     : loop_(loop)
     , sockets_(settings, loop)
     , core_({self, settings.group, settings.reportInterval, settings.seeds}, loop.now(), format, sockets_)
--- a/src/node/agentnode.h
+++ b/src/node/agentnode.h
@@ -21,11 +21,7 @@
 {
 public:
     /** All references must outlive the node. */
-    AgentNode(const NodeSettings &settings,
-              Peer self,
-              EventLoop &loop,
-              const PacketFormat &format,
-              ConfigStore &store);
+    AgentNode(const NodeSettings &settings, Peer self, EventLoop &loop, const PacketFormat &format, ConfigStore &store);
 
     std::optional<Error> start();
 
--- a/src/node/nodereport.cpp
+++ b/src/node/nodereport.cpp
@@ -115,7 +115,8 @@
 {
     MetricsText text;
     addCounters(text, BalancerRows, core.counters());
-    text.gauge("table_version", "Version of the service table in force",
+    text.gauge("table_version",
+               "Version of the service table in force",
                core.table() == nullptr ? 0.0 : static_cast<double>(core.table()->version.value()));
     text.gauge("flows", "Flows whose owner is remembered", static_cast<double>(core.flows()));
     text.gauge("targets", "Targets that report", static_cast<double>(core.targets().size()));
--- a/src/node/tablewatcher.cpp
+++ b/src/node/tablewatcher.cpp
@@ -19,11 +19,7 @@
 
 } // namespace
 
-TableWatcher::TableWatcher(ConfigStore &store,
-                           std::string key,
-                           Decoder decode,
-                           TableHandler onTable,
-                           LogHandler onLog)
+TableWatcher::TableWatcher(ConfigStore &store, std::string key, Decoder decode, TableHandler onTable, LogHandler onLog)
     : store_(store)
     , key_(std::move(key))
     , decode_(std::move(decode))
@@ -84,8 +80,8 @@
 {
     Outcome<ServiceTable> table = decode_(value);
     if (!isOk(table)) {
-        onLog_("tableUnreadable", errorOf(table).field + ": " + errorOf(table).message + ", revision "
-                   + std::to_string(modified.value()));
+        onLog_("tableUnreadable",
+               errorOf(table).field + ": " + errorOf(table).message + ", revision " + std::to_string(modified.value()));
         return;
     }
     onTable_(takeValue(std::move(table)));
--- a/src/relay/flowplacement.h
+++ b/src/relay/flowplacement.h
@@ -45,8 +45,8 @@
 };
 
 /**
- * Chooses targets for new flows by what balancers know of their load. A flow is offered to some targets that must have a
- * free slot; then to the one with the shortest expected time, where it may wait up to the given limit.
+ * Chooses targets for new flows by what balancers know of their load. A flow is offered to some targets that must have
+ * a free slot; then to the one with the shortest expected time, where it may wait up to the given limit.
  */
 class FlowPlacement
 {
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -205,11 +205,8 @@
     deliver(now, from, forward.packet(), head, valueOf(ForwardMode::Open));
 }
 
-void RelayAgent::deliver(Timestamp now,
-                         const PeerAddress &from,
-                         std::string packet,
-                         const RelayPacket &head,
-                         std::uint32_t mode)
+void RelayAgent::deliver(
+    Timestamp now, const PeerAddress &from, std::string packet, const RelayPacket &head, std::uint32_t mode)
 {
     ++counters_.packetsIn;
     const bool known = flows_.find(head.flow) != nullptr;
@@ -293,8 +290,7 @@
     format_.restore(packet);
     const bool opening = mode == valueOf(ForwardMode::Open);
     ++(opening ? counters_.returnedFull : counters_.returnedNotHeld);
-    returnPacket(
-        now, taggedBalancers_[index], opening ? ReturnReason::Full : ReturnReason::NotHeld, std::move(packet));
+    returnPacket(now, taggedBalancers_[index], opening ? ReturnReason::Full : ReturnReason::NotHeld, std::move(packet));
 }
 
 void RelayAgent::handleAnswer(Timestamp now, std::string packet, const RelayPacket &head)
@@ -369,10 +365,7 @@
     output_.sendToPeer(to, message);
 }
 
-void RelayAgent::answerFlow(Timestamp now,
-                            const PeerAddress &balancer,
-                            const FlowTuple &tuple,
-                            FlowPresence presence)
+void RelayAgent::answerFlow(Timestamp now, const PeerAddress &balancer, const FlowTuple &tuple, FlowPresence presence)
 {
     wire::relay::Message message;
     wire::relay::FlowAnswer *answer = message.mutable_flow_answer();
@@ -434,10 +427,11 @@
     target_.advance(now);
     const TargetState current = state(now);
     if (current != reportedState_) {
-        output_.logDecision("targetStateReported",
-                            {{"target", target_.target()},
-                             {"state", nameOf(current)},
-                             {"reportAgeMs", std::to_string(target_.reportAge(now).value_or(Milliseconds(-1)).count())}});
+        output_.logDecision(
+            "targetStateReported",
+            {{"target", target_.target()},
+             {"state", nameOf(current)},
+             {"reportAgeMs", std::to_string(target_.reportAge(now).value_or(Milliseconds(-1)).count())}});
         reportedState_ = current;
         nextReport_ = now;
     }
--- a/src/relay/relayagent.h
+++ b/src/relay/relayagent.h
@@ -108,16 +108,15 @@
     void handleHello(Timestamp now, const PeerAddress &from, const wire::relay::Hello &hello);
     void handleReturned(Timestamp now, std::string packet, const RelayPacket &head);
     void handleAnswer(Timestamp now, std::string packet, const RelayPacket &head);
-    void deliver(Timestamp now, const PeerAddress &from, std::string packet, const RelayPacket &head, std::uint32_t mode);
+    void
+    deliver(Timestamp now, const PeerAddress &from, std::string packet, const RelayPacket &head, std::uint32_t mode);
     void noteCallerPacket(Timestamp now, AgentFlow &flow, const RelayPacket &head);
     void endRequest(Timestamp now, AgentFlow &flow, bool answered);
     void forget(Timestamp now, const FlowTuple &tuple);
     void returnPacket(Timestamp now, const PeerAddress &to, ReturnReason reason, std::string packet);
     void answerFlow(Timestamp now, const PeerAddress &balancer, const FlowTuple &tuple, FlowPresence presence);
-    void handleSearch(Timestamp now,
-                      const PeerAddress &from,
-                      const wire::relay::Forward &forward,
-                      const RelayPacket &head);
+    void
+    handleSearch(Timestamp now, const PeerAddress &from, const wire::relay::Forward &forward, const RelayPacket &head);
     void sweepFlows(Timestamp now);
     void sendReports(Timestamp now);
     void fillLoad(Timestamp now, wire::relay::Load &load);
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -90,8 +90,7 @@
         return;
     }
     OwnedFlow *flow = flows_.find(head->flow);
-    const KnownTarget *owner =
-        flow == nullptr || flow->owner.port == 0 ? nullptr : targets_.find(flow->owner);
+    const KnownTarget *owner = flow == nullptr || flow->owner.port == 0 ? nullptr : targets_.find(flow->owner);
     if (owner == nullptr || pauses_.silence(now, owner->heard) >= SilenceOfDead) {
         search(now, *service, *head, packet, PeerAddress());
         return;
@@ -101,10 +100,7 @@
     forward(flow->owner, owner->group, ForwardMode::Known, Milliseconds(0), packet);
 }
 
-void RelayBalancer::open(Timestamp now,
-                         const RelayedService &service,
-                         const RelayPacket &head,
-                         std::string_view packet)
+void RelayBalancer::open(Timestamp now, const RelayedService &service, const RelayPacket &head, std::string_view packet)
 {
     OwnedFlow &flow = flows_.touch(now, head.flow);
     const KnownTarget *owner = flow.owner.port == 0 ? nullptr : targets_.find(flow.owner);
@@ -151,7 +147,7 @@
     const FlowTuple tuple = flow.tuple;
     const std::optional<RelayPacket> head = format_.decode(flow.openingPacket, PacketOrigin::Caller);
     const bool learning = refusal == Refusal::NoTarget && now - started_ < LearningPeriod;
-    ++(learning                              ? counters_.droppedNoTarget
+    ++(learning                           ? counters_.droppedNoTarget
            : refusal == Refusal::NoTarget ? counters_.refusedNoTarget
                                           : counters_.refusedOverload);
     output_.logDecision("flowRefused",
@@ -168,11 +164,8 @@
     }
 }
 
-void RelayBalancer::forward(const PeerAddress &agent,
-                            GroupId group,
-                            ForwardMode mode,
-                            Milliseconds wait,
-                            std::string_view packet)
+void RelayBalancer::forward(
+    const PeerAddress &agent, GroupId group, ForwardMode mode, Milliseconds wait, std::string_view packet)
 {
     wire::relay::Message message;
     wire::relay::Forward *forward = message.mutable_forward();
@@ -231,9 +224,10 @@
     const RelayPacket head = search->head;
     const bool certain = search->asksAll;
     searches_.erase(tuple);
-    output_.logDecision(
-        "flowLost",
-        {{"flow", formatFlowTuple(tuple)}, {"targets", std::to_string(targets_.size())}, {"outcome", certain ? "reset" : "dropped"}});
+    output_.logDecision("flowLost",
+                        {{"flow", formatFlowTuple(tuple)},
+                         {"targets", std::to_string(targets_.size())},
+                         {"outcome", certain ? "reset" : "dropped"}});
     if (certain && !head.reset) {
         ++counters_.flowsLost;
         resetCaller(head);
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -20,7 +20,8 @@
 GroupId groupIdOf(std::string_view name);
 PeerId peerIdOf(std::string_view name);
 
-/** Requests that wait at a target beside those in its slots. Targets of the reference deployments reject the next one. */
+/** Requests that wait at a target beside those in its slots. Targets of the reference deployments reject the next one.
+ */
 constexpr std::uint32_t QueueLimit = 8;
 
 /** What an agent knows of its target. The values are on the wire. */
--- a/src/relay/targetdirectory.cpp
+++ b/src/relay/targetdirectory.cpp
@@ -18,7 +18,7 @@
 {
     const std::uint32_t state = load.state();
     return state <= static_cast<std::uint32_t>(TargetState::AgentLeaving) ? static_cast<TargetState>(state)
-                                                                        : TargetState::Unknown;
+                                                                          : TargetState::Unknown;
 }
 
 } // namespace
@@ -51,8 +51,8 @@
     }
     target.agent = agent;
     target.sameZone = agent.availabilityZone == availabilityZone_;
-    target.reportInterval = std::clamp(
-        Milliseconds(report.interval_ms()), ShortestReportInterval, LongestReportInterval);
+    target.reportInterval =
+        std::clamp(Milliseconds(report.interval_ms()), ShortestReportInterval, LongestReportInterval);
     apply(now, target, report.load());
     return inserted || replaced || before != target.state;
 }
@@ -149,7 +149,8 @@
 
 bool TargetDirectory::isUsable(Timestamp now, const KnownTarget &target)
 {
-    return target.state == TargetState::Ready && !target.silent && now - target.heard < target.reportInterval * MissedReports;
+    return target.state == TargetState::Ready && !target.silent
+        && now - target.heard < target.reportInterval * MissedReports;
 }
 
 } // namespace rhubarblane
--- a/src/runtime/metricstext.cpp
+++ b/src/runtime/metricstext.cpp
@@ -65,9 +65,9 @@
     std::uint64_t cumulative = 0;
     for (std::size_t bucket = 0; bucket <= LatencyHistogram::BoundsMs.size(); ++bucket) {
         const bool bounded = bucket < LatencyHistogram::BoundsMs.size();
-        const std::string bound =
-            bounded ? formatNumber(static_cast<double>(LatencyHistogram::BoundsMs[bucket]) / MillisecondsPerSecond)
-                    : "+Inf";
+        const std::string bound = bounded
+            ? formatNumber(static_cast<double>(LatencyHistogram::BoundsMs[bucket]) / MillisecondsPerSecond)
+            : "+Inf";
         cumulative += durations.count(bucket);
         sample(std::string(name) + "_bucket", {{"le", bound}}, std::to_string(cumulative));
     }
--- a/src/tests/flowplacementtest.cpp
+++ b/src/tests/flowplacementtest.cpp
@@ -64,7 +64,8 @@
 
 BOOST_FIXTURE_TEST_SUITE(FlowPlacementTest, FlowPlacementFixture)
 
-// Guards against a target that rejects requests at once and therefore seems the fastest: it drew all flows of a service.
+// Guards against a target that rejects requests at once and therefore seems the fastest: it drew all flows of a
+// service.
 BOOST_AUTO_TEST_CASE(placementWithAllTargetsBusyAvoidsLongQueueOfSeeminglyFastOne)
 {
     const std::vector<KnownTarget> targets {target(1, 30, 2.0), target(2, 5, 30.0), target(3, 6, 30.0)};
--- /dev/null
+++ b/src/tests/peerregistrationtest.cpp
@@ -0,0 +1,110 @@
+#define BOOST_TEST_MODULE PeerRegistration
+#include "node/peerregistration.h"
+#include "tests/fakeconfigstore.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace rhubarblane;
+
+namespace
+{
+
+struct PeerRegistrationFixture {
+    /** Runs the steps that are due until `end`; leases run out meanwhile. */
+    void runUntil(std::int64_t end)
+    {
+        while (now < Timestamp(end)) {
+            store.now = now;
+            if (!pauseLeases) {
+                store.table.expireLeases(now);
+            }
+            const Milliseconds wait = registration.step(now);
+            now = now + std::max(wait, Milliseconds(1));
+        }
+    }
+
+    bool isStored()
+    {
+        const std::vector<StoredValue> values = store.table.range("rhubarblane/", "rhubarblane0").values;
+        return std::any_of(values.begin(), values.end(), [](const StoredValue &value) {
+            return value.key == "rhubarblane/peers/agent-1";
+        });
+    }
+
+    Timestamp now {1000};
+    bool pauseLeases = false;
+    FakeConfigStore store;
+    std::vector<Peer> named;
+    std::vector<std::string> events;
+    PeerRegistration registration {store,
+                                   Peer {"agent-1", PeerRole::Agent, "a", {0x0a000001, 7720}, 1000},
+                                   [this](const std::vector<Peer> &peers) { named = peers; },
+                                   [this](const std::string &event, const std::string &) { events.push_back(event); }};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PeerRegistrationTest, PeerRegistrationFixture)
+
+// Guards against a process that nobody finds.
+BOOST_AUTO_TEST_CASE(registrationAtStartWritesEntryAndReadsOthers)
+{
+    const Peer other {"balancer-1", PeerRole::Balancer, "b", {0x0a000002, 7720}, 900};
+    store.table.commit({{}, {{"rhubarblane/peers/balancer-1", toWire(other).SerializeAsString(), LeaseId()}}});
+    store.table.commit({{}, {{"rhubarblane/peers/broken", "\xff\xff", LeaseId()}}});
+    runUntil(1010);
+    BOOST_TEST(isStored());
+    BOOST_TEST(named.size() == 2u);
+    BOOST_TEST((std::find(events.begin(), events.end(), "peerEntryUnreadable") != events.end()));
+}
+
+// Guards against an entry that lapses while the process lives.
+BOOST_AUTO_TEST_CASE(registrationRenewsLease)
+{
+    runUntil(60000);
+    BOOST_TEST(isStored());
+    BOOST_TEST(store.commits == 1);
+}
+
+// Guards against entries that are missing for more than 2 s after the store returns.
+BOOST_AUTO_TEST_CASE(registrationAfterOutageWithLapsedLeaseWritesEntryWithinTwoSeconds)
+{
+    runUntil(5000);
+    store.available = false;
+    runUntil(30000);
+    store.table.expireAllLeases();
+    BOOST_TEST(!isStored());
+    store.available = true;
+    runUntil(now.milliseconds() + 2000);
+    BOOST_TEST(isStored());
+}
+
+// Guards against an entry that the store lost without any sign in the answers to renewals.
+BOOST_AUTO_TEST_CASE(registrationWithEntryTakenAwayWritesItAgain)
+{
+    runUntil(5000);
+    store.table.commit({{}, {{"rhubarblane/peers/agent-1", std::nullopt, LeaseId()}}});
+    runUntil(11000);
+    BOOST_TEST(isStored());
+}
+
+// Guards against a process that believes in a write whose answer was lost.
+BOOST_AUTO_TEST_CASE(registrationWithLostAnswerWritesUntilItIsAcknowledged)
+{
+    store.loseRequests = 2;
+    runUntil(4000);
+    BOOST_TEST(isStored());
+    BOOST_TEST(registration.isRegistered());
+}
+
+// Guards against balancers that wait for the reports of a process that has ended.
+BOOST_AUTO_TEST_CASE(registrationWithdrawnLeavesNoEntry)
+{
+    runUntil(2000);
+    registration.withdraw();
+    BOOST_TEST(!isStored());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/relayagenttest.cpp
+++ b/src/tests/relayagenttest.cpp
@@ -165,8 +165,8 @@
     BOOST_TEST(agent.meter().busy() == 1u);
 }
 
-// Guards against a target that seems idle and instant: on svs-humlog, scale-2, one such target drew all new flows, since
-// the packet that ends a flow often arrives before the answer.
+// Guards against a target that seems idle and instant: on svs-humlog, scale-2, one such target drew all new flows,
+// since the packet that ends a flow often arrives before the answer.
 BOOST_AUTO_TEST_CASE(meterWithEndOfFlowBeforeAnswerCountsAnsweredRequest)
 {
     open(caller);
@@ -293,7 +293,8 @@
     BOOST_TEST((ask(caller, "desk") == FlowPresence::Absent));
 }
 
-// Guards against a reset of an open flow by a target that starts: seen as FLOW on dryer-book, scale-1, seed 155637112533.
+// Guards against a reset of an open flow by a target that starts: seen as FLOW on dryer-book, scale-1, seed
+// 155637112533.
 BOOST_AUTO_TEST_CASE(agentWithResetForFlowThatItsTargetDoesNotHoldDropsIt)
 {
     RecordedOutput freshOutput;
--- a/src/tests/relaybalancertest.cpp
+++ b/src/tests/relaybalancertest.cpp
@@ -354,9 +354,8 @@
     *hello.mutable_hello()->mutable_sender() = toWire(peer);
     hello.mutable_hello()->set_table_version(9);
     balancer.onPeerMessage(now, peer.address, hello);
-    const bool asked = std::any_of(output.toPeers.begin(), output.toPeers.end(), [](const auto &sent) {
-        return sent.second.has_table_request();
-    });
+    const bool asked = std::any_of(
+        output.toPeers.begin(), output.toPeers.end(), [](const auto &sent) { return sent.second.has_table_request(); });
     BOOST_TEST(asked);
     for (const wire::relay::TablePart &part : splitTable(relayTable(9))) {
         wire::relay::Message message;
--- /dev/null
+++ b/src/tests/servicetabletest.cpp
@@ -0,0 +1,84 @@
+#define BOOST_TEST_MODULE ServiceTable
+#include "relay/servicetable.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace rhubarblane;
+
+namespace
+{
+
+struct ServiceTableFixture {
+    static ServiceTable table(std::uint64_t version, std::uint16_t services)
+    {
+        ServiceTable result;
+        result.version = TableVersion(version);
+        result.idleTimeout = Milliseconds(15000);
+        for (std::uint16_t port = 1; port <= services; ++port) {
+            RelayedService service;
+            service.name = "service-" + std::to_string(port);
+            service.address = {0xc6120001, port};
+            service.groups = {{"desk", groupIdOf("desk"), 1}};
+            service.timeout = Milliseconds(1200);
+            service.atMostOnce = port % 2 == 0;
+            result.services[service.address] = service;
+        }
+        return result;
+    }
+
+    TableAssembler assembler;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ServiceTableTest, ServiceTableFixture)
+
+// Guards against a table that is lost or in force in part when its datagrams come in another order.
+BOOST_AUTO_TEST_CASE(assemblerWithPartsInAnyOrderGivesWholeTable)
+{
+    std::vector<wire::relay::TablePart> parts = splitTable(table(7, 30));
+    BOOST_TEST(parts.size() > 1u);
+    std::reverse(parts.begin(), parts.end());
+    parts.push_back(parts.front());
+    std::optional<ServiceTable> result;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        BOOST_TEST(!result.has_value());
+        result = assembler.add(parts[i]);
+    }
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(result->services.size() == 30u);
+    BOOST_TEST(result->idleTimeout.count() == 15000);
+    BOOST_TEST((result->services.at({0xc6120001, 2}).atMostOnce));
+    BOOST_TEST((result->services.at({0xc6120001, 3}).groups.front().id == groupIdOf("desk")));
+}
+
+// Guards against a table of parts of two versions.
+BOOST_AUTO_TEST_CASE(assemblerWithTwoVersionsGivesNewerOneOnly)
+{
+    const std::vector<wire::relay::TablePart> older = splitTable(table(7, 16));
+    const std::vector<wire::relay::TablePart> newer = splitTable(table(8, 16));
+    BOOST_REQUIRE(older.size() == 2u);
+    BOOST_TEST(!assembler.add(older[0]).has_value());
+    BOOST_TEST(!assembler.add(newer[1]).has_value());
+    BOOST_TEST(!assembler.add(older[1]).has_value());
+    const std::optional<ServiceTable> result = assembler.add(newer[0]);
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(result->version.value() == 8u);
+}
+
+// Guards against datagrams of other writers.
+BOOST_AUTO_TEST_CASE(assemblerWithMalformedPartsIgnoresThem)
+{
+    wire::relay::TablePart part = splitTable(table(7, 4)).front();
+    part.set_parts(0);
+    BOOST_TEST(!assembler.add(part).has_value());
+    part.set_parts(1);
+    part.set_part(5);
+    BOOST_TEST(!assembler.add(part).has_value());
+    part.set_parts(0xffffffff);
+    BOOST_TEST(!assembler.add(part).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/tests/tablewatchertest.cpp
@@ -0,0 +1,109 @@
+#define BOOST_TEST_MODULE TableWatcher
+#include "node/tablewatcher.h"
+#include "tests/fakeconfigstore.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace rhubarblane;
+
+namespace
+{
+
+struct TableWatcherFixture {
+    void write(const std::string &value)
+    {
+        store.table.commit({{}, {{"op/table", value, LeaseId()}}});
+    }
+
+    bool logged(const std::string &event) const
+    {
+        return std::find(events.begin(), events.end(), event) != events.end();
+    }
+
+    FakeConfigStore store;
+    std::vector<std::uint64_t> versions;
+    std::vector<std::string> events;
+    TableWatcher watcher {store,
+                          "op/table",
+                          [](const std::string &value) -> Outcome<ServiceTable> {
+                              if (value.find_first_not_of("0123456789") != std::string::npos) {
+                                  return Error {ErrorCode::InvalidArgument, "version", "is no number"};
+                              }
+                              ServiceTable table;
+                              table.version = TableVersion(std::stoull(value));
+                              return table;
+                          },
+                          [this](const ServiceTable &table) { versions.push_back(table.version.value()); },
+                          [this](const std::string &event, const std::string &) { events.push_back(event); }};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TableWatcherTest, TableWatcherFixture)
+
+// Guards against a start without the table that is in force, and against changes that are missed.
+BOOST_AUTO_TEST_CASE(watcherReadsTableAndFollowsChanges)
+{
+    write("7");
+    watcher.step(1);
+    write("9");
+    watcher.step(1);
+    watcher.step(1);
+    BOOST_TEST((versions == std::vector<std::uint64_t> {7, 9}));
+}
+
+// Guards against a change that is lost when the store drops its history.
+BOOST_AUTO_TEST_CASE(watcherWithDroppedHistoryReadsTableAnew)
+{
+    write("7");
+    watcher.step(1);
+    write("9");
+    store.table.compact();
+    watcher.step(1);
+    watcher.step(1);
+    BOOST_TEST(logged("historyDropped"));
+    BOOST_TEST(versions.back() == 9u);
+}
+
+// Guards against a change made while the store could not be reached.
+BOOST_AUTO_TEST_CASE(watcherAfterOutageReadsTableAnew)
+{
+    write("7");
+    watcher.step(1);
+    store.available = false;
+    BOOST_TEST(watcher.step(1).count() > 0);
+    write("9");
+    store.available = true;
+    watcher.step(1);
+    BOOST_TEST(versions.back() == 9u);
+    BOOST_TEST(logged("storeLost"));
+    BOOST_TEST(logged("storeRegained"));
+}
+
+// Guards against a table that cannot be read and takes the place of one that can.
+BOOST_AUTO_TEST_CASE(watcherWithUnreadableTableLogsAndGoesOn)
+{
+    write("7");
+    watcher.step(1);
+    write("broken");
+    watcher.step(1);
+    write("9");
+    watcher.step(1);
+    BOOST_TEST((versions == std::vector<std::uint64_t> {7, 9}));
+    BOOST_TEST(logged("tableUnreadable"));
+}
+
+// Guards against keys that begin like the watched one.
+BOOST_AUTO_TEST_CASE(watcherIgnoresOtherKeysWithSamePrefix)
+{
+    write("7");
+    store.table.commit({{}, {{"op/table2", "99", LeaseId()}}});
+    watcher.step(1);
+    store.table.commit({{}, {{"op/table2", "100", LeaseId()}}});
+    watcher.step(1);
+    BOOST_TEST((versions == std::vector<std::uint64_t> {7}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
