--- a/src/node/balancernode.cpp
+++ b/src/node/balancernode.cpp
@@ -102,6 +102,7 @@
 
 void BalancerNode::stop()
 {
+    watcher_.stop();
     store_.cancelWatches();
     watcherThread_.reset();
     registrationThread_.reset();
--- a/src/node/peerregistration.cpp
+++ b/src/node/peerregistration.cpp
@@ -95,7 +95,7 @@
 
 std::optional<Error> PeerRegistration::renew(Timestamp now)
 {
-    const std::optional<Error> error = store_.keepLeaseAlive(lease_);
+    std::optional<Error> error = store_.keepLeaseAlive(lease_);
     if (!error) {
         nextRenewal_ = now + RenewalInterval;
         return std::nullopt;
--- a/src/node/tablewatcher.cpp
+++ b/src/node/tablewatcher.cpp
@@ -89,6 +89,9 @@
 
 void TableWatcher::noteOutcome(const std::optional<Error> &error)
 {
+    if (stopping_) {
+        return;
+    }
     if (error && available_) {
         onLog_("storeLost", error->message);
     } else if (!error && !available_) {
--- a/src/node/tablewatcher.h
+++ b/src/node/tablewatcher.h
@@ -6,6 +6,7 @@
 #include "relay/servicetable.h"
 #include "store/configstore.h"
 
+#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <random>
@@ -28,6 +29,12 @@
     /** Returns how long to wait before the next step. `balancers` follow the table, this one included. */
     Milliseconds step(std::size_t balancers);
 
+    /** The process ends: a call that is cancelled is no loss of the store. Any thread. */
+    void stop()
+    {
+        stopping_ = true;
+    }
+
 private:
     std::optional<Error> readAll();
     std::optional<Error> waitForChange(Milliseconds wait);
@@ -43,6 +50,7 @@
     Revision seen_;
     std::mt19937_64 random_ {std::random_device {}()};
     bool available_ = true;
+    std::atomic<bool> stopping_ = false;
 };
 
 } // namespace rhubarblane
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -443,6 +443,8 @@
         openTimes_.add(now - flow.firstSeen);
     }
     const KnownTarget *target = targets_.find(agent);
+    const FlowSearch *search = searches_.find(flow.tuple);
+    const Timestamp since = search != nullptr ? search->started : flow.firstSeen;
     output_.logDecision(opened ? "flowOpened" : "flowFound",
                         {{"flow", formatFlowTuple(flow.tuple)},
                          {"agent", target == nullptr ? formatPeerAddress(agent) : target->agent.name},
@@ -452,7 +454,7 @@
                          {"believedServiceMs", std::to_string(std::lround(flow.basis.serviceTimeMs))},
                          {"beliefAgeMs", std::to_string(flow.basis.age.count())},
                          {"busy", std::to_string(answer.load().busy())},
-                         {"waitedMs", std::to_string((now - flow.firstSeen).count())}});
+                         {"waitedMs", std::to_string((now - since).count())}});
     flow.owner = agent;
     flow.offered = false;
     flow.history = OfferHistory();
--- a/src/store/etcdstore.cpp
+++ b/src/store/etcdstore.cpp
@@ -127,7 +127,7 @@
         web::http::http_request request = makeRequest("/v3/watch", encodeWatch(prefix, from));
         request.headers().add("Connection", "close");
         pplx::task<Outcome<std::vector<StoredChange>>> task =
-            client->request(std::move(request), cancel.get_token())
+            client->request(request, cancel.get_token())
                 .then([client](const web::http::http_response &response) {
                     if (response.status_code() == web::http::status_codes::OK) {
                         return readChanges(response.body()).then([client](Outcome<std::vector<StoredChange>> changes) {
--- a/src/store/storecall.cpp
+++ b/src/store/storecall.cpp
@@ -40,7 +40,7 @@
     try {
         const auto client = makeStoreClient(url, timeout);
         pplx::task<StoreAnswer> task =
-            client->request(std::move(request), cancel.get_token())
+            client->request(request, cancel.get_token())
                 .then([client](const web::http::http_response &response) {
                     return response.extract_string(true).then(
                         [status = response.status_code()](const std::string &text) {
--- a/src/tests/relaypathtest.cpp
+++ b/src/tests/relaypathtest.cpp
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE RelayPath
 #include "tests/relayworld.h"
 
+#include <boost/test/unit_test.hpp>
+
 using namespace rhubarblane;
 
 namespace
--- a/src/tests/relayworld.h
+++ b/src/tests/relayworld.h
@@ -4,8 +4,6 @@
 #include "relay/relayagent.h"
 #include "relay/relaybalancer.h"
 
-#include <boost/test/unit_test.hpp>
-
 #include <algorithm>
 #include <cstring>
 #include <fstream>
