Let the bench lose packets that no balancer can take

Cause: Simulation::sendPacket drew balancers for ever when none served ("everything", three balancers, 20 s). Change: such a packet is lost and counted.

--- a/src/bench/simulation.cpp
+++ b/src/bench/simulation.cpp
@@ -270,6 +270,10 @@
 
 void Simulation::sendPacket(std::size_t index)
 {
+    if (std::none_of(fabric_.begin(), fabric_.end(), [](bool serves) { return serves; })) {
+        ++counts_["packets_without_balancer"];
+        return;
+    }
     const std::string packet = buildCallerPacket(calls_[index].flow, calls_[index].payload);
     // Peer datagrams are not doubled: the seal drops replayed ones before the cores see them.
     const int copies = network_.random() < static_cast<std::uint64_t>(options_.scenario->doubling * 0x1p64) ? 2 : 1;
--- a/src/tests/benchtest.cpp
+++ b/src/tests/benchtest.cpp
@@ -55,6 +55,20 @@
     BOOST_TEST(simulation.counts().at("broken_planned") > 0U);
 }
 
+// Guards against a run that never ends: with three balancers, "everything" takes all of them out of the fabric at once.
+BOOST_AUTO_TEST_CASE(simulationWithAllBalancersAwayLosesPacketsAndEnds)
+{
+    options.balancers = 3;
+    for (const Scenario &scenario : allScenarios()) {
+        if (scenario.name == "everything") {
+            options.scenario = &scenario;
+        }
+    }
+    Simulation simulation(options);
+    simulation.run();
+    BOOST_TEST(simulation.counts().at("packets_without_balancer") > 0U);
+}
+
 // Guards against a wrong split of a span over two windows, which would hide an imbalance.
 BOOST_AUTO_TEST_CASE(shareMeterWithSpanOverTwoWindowsCountsEachPart)
 {
