--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -9,7 +9,7 @@
 {
 
 AgentNode::AgentNode(
-    const NodeSettings &settings, Peer self, EventLoop &loop, const PacketFormat &format, ConfigStore &store)
+    const NodeSettings &settings, const Peer &self, EventLoop &loop, const PacketFormat &format, ConfigStore &store)
     : loop_(loop)
     , sockets_(settings, loop)
     , core_({self, settings.group, settings.reportInterval, settings.seeds}, loop.now(), format, sockets_)
@@ -27,7 +27,7 @@
 
 std::optional<Error> AgentNode::start()
 {
-    const std::optional<Error> error =
+    std::optional<Error> error =
         sockets_.open([this](std::string_view packet) { core_.onTargetPacket(loop_.now(), packet); },
                       [this](const PeerAddress &from, const wire::relay::Message &message) {
                           core_.onPeerMessage(loop_.now(), from, message);
--- a/src/node/agentnode.h
+++ b/src/node/agentnode.h
@@ -21,7 +21,11 @@
 {
 public:
     /** All references must outlive the node. */
-    AgentNode(const NodeSettings &settings, Peer self, EventLoop &loop, const PacketFormat &format, ConfigStore &store);
+    AgentNode(const NodeSettings &settings,
+              const Peer &self,
+              EventLoop &loop,
+              const PacketFormat &format,
+              ConfigStore &store);
 
     std::optional<Error> start();
 
--- a/src/node/balancernode.cpp
+++ b/src/node/balancernode.cpp
@@ -31,7 +31,7 @@
 } // namespace
 
 BalancerNode::BalancerNode(const NodeSettings &settings,
-                           Peer self,
+                           const Peer &self,
                            EventLoop &loop,
                            const PacketFormat &format,
                            ConfigStore &store,
@@ -64,7 +64,7 @@
 
 std::optional<Error> BalancerNode::start()
 {
-    const std::optional<Error> error =
+    std::optional<Error> error =
         sockets_.open([this](std::string_view packet) { core_.onCallerPacket(loop_.now(), packet); },
                       [this](const PeerAddress &from, const wire::relay::Message &message) {
                           core_.onPeerMessage(loop_.now(), from, message);
--- a/src/node/balancernode.h
+++ b/src/node/balancernode.h
@@ -24,7 +24,7 @@
 public:
     /** All references must outlive the node. `tableKey` holds what `decode` reads. */
     BalancerNode(const NodeSettings &settings,
-                 Peer self,
+                 const Peer &self,
                  EventLoop &loop,
                  const PacketFormat &format,
                  ConfigStore &store,
--- /dev/null
+++ b/src/relay/balancerpeers.cpp
@@ -0,0 +1,148 @@
+#include "relay/balancerpeers.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+// A newer table must reach balancers that the store turns away within the 3 s of the platform, with one lost datagram.
+constexpr Milliseconds BalancerHelloInterval(500);
+// Half of the time after which a peer does not count as heard any more.
+constexpr Milliseconds AgentHelloInterval(2000);
+// With more peers the intervals grow so that a balancer sends at most this many a second.
+constexpr std::int64_t HellosPerSecond = 100;
+// Messages of about 300 bytes: 84 of 1,300 bytes at once filled a link of 10 Mbit/s for 90 ms.
+constexpr std::size_t PeersPerHello = 4;
+// To a process that has just been heard for the first time.
+constexpr std::size_t PeersPerFirstHello = 24;
+// As often as a lost first contact should delay a start without the store.
+constexpr Milliseconds SeedContactInterval(1000);
+
+Milliseconds intervalFor(std::size_t receivers, Milliseconds shortest)
+{
+    return std::max(shortest, Milliseconds(static_cast<std::int64_t>(receivers) * 1000 / HellosPerSecond));
+}
+
+} // namespace
+
+BalancerPeers::BalancerPeers(Peer self, std::vector<PeerAddress> seeds, RelayOutput &output)
+    : book_(std::move(self))
+    , seeds_(std::move(seeds))
+    , output_(output)
+{
+}
+
+void BalancerPeers::setTableVersion(Timestamp now, TableVersion version)
+{
+    tableVersion_ = version;
+    nextBalancerHello_ = now;
+}
+
+bool BalancerPeers::hear(Timestamp now, const Peer &peer)
+{
+    const bool unknown = book_.find(peer.id()) == nullptr;
+    if (!book_.hear(now, peer)) {
+        return false;
+    }
+    if (unknown) {
+        output_.logDecision("peerFound", {{"peer", peer.name}, {"from", "message"}});
+        greet(now, peer.address, PeersPerFirstHello);
+    }
+    return true;
+}
+
+void BalancerPeers::name(Timestamp now, const Peer &peer, std::string_view source)
+{
+    if (book_.name(now, peer)) {
+        // Agents report to balancers that they have heard of, so each new peer is greeted at once.
+        output_.logDecision("peerFound", {{"peer", peer.name}, {"from", std::string(source)}});
+        greet(now, peer.address, PeersPerHello);
+    }
+}
+
+void BalancerPeers::remove(const Peer &peer)
+{
+    book_.remove(peer.id());
+}
+
+void BalancerPeers::onTick(Timestamp now)
+{
+    if (now >= nextBalancerHello_) {
+        nextBalancerHello_ = now + intervalFor(book_.withRole(PeerRole::Balancer).size(), BalancerHelloInterval);
+        greetAll(now, PeerRole::Balancer);
+    }
+    if (now >= nextAgentHello_) {
+        nextAgentHello_ = now + intervalFor(book_.withRole(PeerRole::Agent).size(), AgentHelloInterval);
+        greetAll(now, PeerRole::Agent);
+    }
+    if (now >= nextSeedContact_) {
+        nextSeedContact_ = now + SeedContactInterval;
+        contactSeeds(now);
+    }
+}
+
+void BalancerPeers::sweep(Timestamp now)
+{
+    for (const Peer &peer : book_.expire(now)) {
+        output_.logDecision("peerForgotten", {{"peer", peer.name}});
+    }
+    const std::vector<const PeerBook::Entry *> heard = book_.recentlyHeard(now);
+    balancersHeard_ =
+        static_cast<std::size_t>(std::count_if(heard.begin(), heard.end(), [](const PeerBook::Entry *entry) {
+            return entry->peer.role == PeerRole::Balancer;
+        }));
+}
+
+void BalancerPeers::announceEnd(Timestamp now)
+{
+    ending_ = true;
+    greetAll(now, PeerRole::Balancer);
+    greetAll(now, PeerRole::Agent);
+}
+
+void BalancerPeers::greet(Timestamp now, const PeerAddress &peer, std::size_t namedPeers)
+{
+    output_.sendToPeer(peer, makeHello(now, namedPeers));
+}
+
+void BalancerPeers::greetAll(Timestamp now, PeerRole role)
+{
+    const wire::relay::Message message = makeHello(now, PeersPerHello);
+    for (const PeerBook::Entry *entry : book_.withRole(role)) {
+        output_.sendToPeer(entry->peer.address, message);
+    }
+}
+
+void BalancerPeers::contactSeeds(Timestamp now)
+{
+    const std::vector<const PeerBook::Entry *> balancers = book_.withRole(PeerRole::Balancer);
+    for (const PeerAddress &seed : seeds_) {
+        const bool known = std::any_of(balancers.begin(), balancers.end(), [&](const PeerBook::Entry *entry) {
+            return entry->peer.address == seed;
+        });
+        if (!known && seed != book_.self().address) {
+            greet(now, seed, PeersPerHello);
+        }
+    }
+}
+
+wire::relay::Message BalancerPeers::makeHello(Timestamp now, std::size_t namedPeers)
+{
+    wire::relay::Message message;
+    wire::relay::Hello *hello = message.mutable_hello();
+    *hello->mutable_sender() = toWire(book_.self());
+    hello->set_table_version(tableVersion_.value());
+    hello->set_leaving(ending_);
+    const std::vector<const PeerBook::Entry *> heard = book_.recentlyHeard(now);
+    for (std::size_t i = 0; i < std::min(namedPeers, heard.size()); ++i) {
+        *hello->add_peers() = toWire(heard[namedPeers_++ % heard.size()]->peer);
+    }
+    return message;
+}
+
+} // namespace rhubarblane
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -12,17 +12,6 @@
 namespace
 {
 
-// A newer table must reach balancers that the store turns away within the 3 s of the platform, with one lost datagram.
-constexpr Milliseconds BalancerHelloInterval(500);
-// Half of the time after which a peer does not count as heard any more.
-constexpr Milliseconds AgentHelloInterval(2000);
-// With more peers the intervals grow so that a balancer sends at most this many a second.
-constexpr std::int64_t HellosPerSecond = 100;
-// Messages of about 300 bytes: 84 of 1,300 bytes at once filled a link of 10 Mbit/s for 90 ms.
-constexpr std::size_t PeersPerHello = 4;
-// To a process that has just been found.
-constexpr std::size_t PeersPerFirstHello = 24;
-constexpr Milliseconds SeedContactInterval(1000);
 // A round trip between availability zones takes 3 ms; the rest is for an agent that waits for its share of a processor.
 constexpr Milliseconds OfferTimeout(40);
 // Longer than the idle limit of flows in the reference deployments, 15 s; a forgotten owner is searched for again.
@@ -50,7 +39,7 @@
     : settings_(std::move(settings))
     , format_(format)
     , output_(output)
-    , peers_(settings_.self)
+    , peers_(settings_.self, settings_.seeds, output)
     , targets_(settings_.self.availabilityZone)
     , placement_(settings_.randomSeed)
     , flows_(settings_.flowLimit)
@@ -239,7 +228,7 @@
     if (now - started_ < ShortLearningPeriod || (!peersRead_ && now - started_ < LongLearningPeriod)) {
         return false;
     }
-    const std::vector<const PeerBook::Entry *> agents = peers_.withRole(PeerRole::Agent);
+    const std::vector<const PeerBook::Entry *> agents = peers_.book().withRole(PeerRole::Agent);
     return std::all_of(agents.begin(), agents.end(), [this](const PeerBook::Entry *entry) {
         return targets_.find(entry->peer.address) != nullptr;
     });
@@ -287,7 +276,6 @@
         ++counters_.malformed;
         return;
     }
-    const bool unknown = peers_.find(agent.id()) == nullptr;
     if (!peers_.hear(now, agent)) {
         return;
     }
@@ -300,11 +288,6 @@
                              {"incarnation", std::to_string(agent.incarnation)},
                              {"sequence", std::to_string(report.load().sequence())}});
     }
-    if (unknown) {
-        wire::relay::Message message;
-        fillHello(now, *message.mutable_hello(), PeersPerFirstHello);
-        output_.sendToPeer(from, message);
-    }
 }
 
 void RelayBalancer::handleHello(Timestamp now, const PeerAddress &from, const wire::relay::Hello &hello)
@@ -315,7 +298,7 @@
         return;
     }
     if (hello.leaving()) {
-        peers_.remove(sender.id());
+        peers_.remove(sender);
         if (hello.target_ended()) {
             targets_.remove(sender.address);
         }
@@ -323,18 +306,11 @@
                             {{"peer", sender.name}, {"targetEnded", hello.target_ended() ? "true" : "false"}});
         return;
     }
-    const bool unknown = peers_.find(sender.id()) == nullptr;
     if (!peers_.hear(now, sender)) {
         return;
     }
     for (const wire::relay::Peer &peer : hello.peers()) {
-        namePeer(now, fromWire(peer), "hello");
-    }
-    if (unknown) {
-        output_.logDecision("peerFound", {{"peer", sender.name}, {"from", "hello"}});
-        wire::relay::Message message;
-        fillHello(now, *message.mutable_hello(), PeersPerFirstHello);
-        output_.sendToPeer(from, message);
+        peers_.name(now, fromWire(peer), "hello");
     }
     const TableVersion theirs(hello.table_version());
     const TableVersion mine = table_ ? table_->version : TableVersion();
@@ -472,29 +448,17 @@
                          {"services", std::to_string(table.services.size())},
                          {"from", std::string(source)}});
     table_ = std::move(table);
-    nextHello_ = now;
+    peers_.setTableVersion(now, table_->version);
 }
 
 void RelayBalancer::onPeersNamed(Timestamp now, const std::vector<Peer> &peers)
 {
     peersRead_ = true;
     for (const Peer &peer : peers) {
-        namePeer(now, peer, "store");
+        peers_.name(now, peer, "store");
     }
 }
 
-void RelayBalancer::namePeer(Timestamp now, const Peer &peer, std::string_view source)
-{
-    if (!peers_.name(now, peer)) {
-        return;
-    }
-    // Agents report to balancers that they have heard of, so each new peer is greeted at once.
-    output_.logDecision("peerFound", {{"peer", peer.name}, {"from", std::string(source)}});
-    wire::relay::Message message;
-    fillHello(now, *message.mutable_hello(), PeersPerHello);
-    output_.sendToPeer(peer.address, message);
-}
-
 void RelayBalancer::onTick(Timestamp now)
 {
     pauses_.advance(now);
@@ -508,83 +472,17 @@
             offerNext(now, *flow, "unanswered");
         }
     }
-    sendHellos(now);
+    peers_.onTick(now);
     if (now < nextSweep_) {
         return;
     }
     nextSweep_ = now + SweepInterval;
     flows_.expire(now, FlowRetention, [](const OwnedFlow &) {});
     searches_.expire(now);
-    countBalancersHeard(now);
+    peers_.sweep(now);
     for (const Peer &agent : targets_.expire(now)) {
         output_.logDecision("targetForgotten", {{"agent", agent.name}});
     }
-    for (const Peer &peer : peers_.expire(now)) {
-        output_.logDecision("peerForgotten", {{"peer", peer.name}});
-    }
-}
-
-void RelayBalancer::sendHellos(Timestamp now)
-{
-    if (now >= nextHello_) {
-        const auto balancers = static_cast<std::int64_t>(peers_.withRole(PeerRole::Balancer).size());
-        nextHello_ = now + std::max(BalancerHelloInterval, Milliseconds(balancers * 1000 / HellosPerSecond));
-        sendHellosTo(now, PeerRole::Balancer);
-    }
-    if (now >= nextAgentHello_) {
-        const auto agents = static_cast<std::int64_t>(peers_.withRole(PeerRole::Agent).size());
-        nextAgentHello_ = now + std::max(AgentHelloInterval, Milliseconds(agents * 1000 / HellosPerSecond));
-        sendHellosTo(now, PeerRole::Agent);
-    }
-    if (now >= nextSeedContact_) {
-        nextSeedContact_ = now + SeedContactInterval;
-        contactSeeds(now);
-    }
-}
-
-void RelayBalancer::sendHellosTo(Timestamp now, PeerRole role)
-{
-    wire::relay::Message message;
-    fillHello(now, *message.mutable_hello(), PeersPerHello);
-    for (const PeerBook::Entry *entry : peers_.withRole(role)) {
-        output_.sendToPeer(entry->peer.address, message);
-    }
-}
-
-void RelayBalancer::contactSeeds(Timestamp now)
-{
-    const std::vector<const PeerBook::Entry *> balancers = peers_.withRole(PeerRole::Balancer);
-    wire::relay::Message message;
-    fillHello(now, *message.mutable_hello(), PeersPerHello);
-    for (const PeerAddress &seed : settings_.seeds) {
-        const bool known = std::any_of(balancers.begin(), balancers.end(), [&](const PeerBook::Entry *entry) {
-            return entry->peer.address == seed;
-        });
-        if (!known && seed != settings_.self.address) {
-            output_.sendToPeer(seed, message);
-        }
-    }
-}
-
-void RelayBalancer::fillHello(Timestamp now, wire::relay::Hello &hello, std::size_t peers)
-{
-    *hello.mutable_sender() = toWire(settings_.self);
-    hello.set_table_version(table_ ? table_->version.value() : 0);
-    hello.set_leaving(ending_);
-    const std::vector<const PeerBook::Entry *> heard = peers_.recentlyHeard(now);
-    for (std::size_t i = 0; i < std::min(peers, heard.size()); ++i) {
-        // Each message names others, so that all are named in turn.
-        *hello.add_peers() = toWire(heard[namedPeers_++ % heard.size()]->peer);
-    }
-}
-
-void RelayBalancer::countBalancersHeard(Timestamp now)
-{
-    const std::vector<const PeerBook::Entry *> heard = peers_.recentlyHeard(now);
-    balancersHeard_ =
-        static_cast<std::size_t>(std::count_if(heard.begin(), heard.end(), [](const PeerBook::Entry *entry) {
-            return entry->peer.role == PeerRole::Balancer;
-        }));
 }
 
 Milliseconds RelayBalancer::acceptedWait(const RelayedService &service) const
@@ -600,9 +498,7 @@
 
 void RelayBalancer::finishLeave(Timestamp now)
 {
-    ending_ = true;
-    sendHellosTo(now, PeerRole::Balancer);
-    sendHellosTo(now, PeerRole::Agent);
+    peers_.announceEnd(now);
 }
 
 bool RelayBalancer::isReady() const
--- a/src/relay/relaybalancer.h
+++ b/src/relay/relaybalancer.h
@@ -3,12 +3,12 @@
 
 #include "base/clock.h"
 #include "base/latencyhistogram.h"
+#include "relay/balancerpeers.h"
 #include "relay/flowplacement.h"
 #include "relay/flowsearches.h"
 #include "relay/ownedflow.h"
 #include "relay/packetformat.h"
 #include "relay/pausedetector.h"
-#include "relay/peerbook.h"
 #include "relay/recentflows.h"
 #include "relay/relayoutput.h"
 #include "relay/servicetable.h"
@@ -98,7 +98,7 @@
     }
     const PeerBook &peers() const
     {
-        return peers_;
+        return peers_.book();
     }
     /** Time from the first packet of a flow until a target opened it. */
     const LatencyHistogram &openTimes() const
@@ -108,7 +108,7 @@
     /** Balancers that this one heard in the last seconds. */
     std::size_t balancersHeard() const
     {
-        return balancersHeard_;
+        return peers_.balancersHeard();
     }
 
     std::size_t flows() const
@@ -140,18 +140,12 @@
     void setOwner(Timestamp now, const PeerAddress &agent, const wire::relay::FlowAnswer &answer);
     bool knowsAllAgents(Timestamp now) const;
     void resetCaller(const RelayPacket &head);
-    void namePeer(Timestamp now, const Peer &peer, std::string_view source);
-    void sendHellos(Timestamp now);
-    void sendHellosTo(Timestamp now, PeerRole role);
-    void contactSeeds(Timestamp now);
-    void countBalancersHeard(Timestamp now);
-    void fillHello(Timestamp now, wire::relay::Hello &hello, std::size_t peers);
     Milliseconds acceptedWait(const RelayedService &service) const;
 
     RelayBalancerSettings settings_;
     const PacketFormat &format_;
     RelayOutput &output_;
-    PeerBook peers_;
+    BalancerPeers peers_;
     TargetDirectory targets_;
     FlowPlacement placement_;
     RecentFlows<OwnedFlow> flows_;
@@ -163,16 +157,10 @@
     RelayBalancerCounters counters_;
     LatencyHistogram openTimes_;
     Timestamp started_;
-    Timestamp nextHello_;
-    Timestamp nextAgentHello_;
-    std::size_t namedPeers_ = 0;
-    std::size_t balancersHeard_ = 0;
-    Timestamp nextSeedContact_;
     Timestamp nextSweep_;
     Timestamp nextTableRequest_;
     bool peersRead_ = false;
     bool leaving_ = false;
-    bool ending_ = false;
 };
 
 } // namespace rhubarblane
--- a/src/relay/targetstatus.h
+++ b/src/relay/targetstatus.h
@@ -22,8 +22,6 @@
     std::uint64_t sequence = 0;
     std::uint32_t slots = 1;
     bool draining = false;
-    /** How much longer the target is slow after its start. */
-    Milliseconds coldLeft = Milliseconds(0);
 };
 
 /** What an agent believes of its target. */
--- a/src/store/etcdstore.cpp
+++ b/src/store/etcdstore.cpp
@@ -127,18 +127,17 @@
         web::http::http_request request = makeRequest("/v3/watch", encodeWatch(prefix, from));
         request.headers().add("Connection", "close");
         pplx::task<Outcome<std::vector<StoredChange>>> task =
-            client->request(request, cancel.get_token())
-                .then([client](const web::http::http_response &response) {
-                    if (response.status_code() == web::http::status_codes::OK) {
-                        return readChanges(response.body()).then([client](Outcome<std::vector<StoredChange>> changes) {
-                            return changes;
-                        });
-                    }
-                    return response.extract_json(true).then(
-                        [status = response.status_code()](const value &body) -> Outcome<std::vector<StoredChange>> {
-                            return gatewayError(status, body, ErrorCode::Unavailable);
-                        });
-                });
+            client->request(request, cancel.get_token()).then([client](const web::http::http_response &response) {
+                if (response.status_code() == web::http::status_codes::OK) {
+                    return readChanges(response.body()).then([client](Outcome<std::vector<StoredChange>> changes) {
+                        return changes;
+                    });
+                }
+                return response.extract_json(true).then(
+                    [status = response.status_code()](const value &body) -> Outcome<std::vector<StoredChange>> {
+                        return gatewayError(status, body, ErrorCode::Unavailable);
+                    });
+            });
         std::optional<Outcome<std::vector<StoredChange>>> changes = waitForTask(task, timeout, cancel);
         return changes ? std::move(*changes) : std::vector<StoredChange>();
     } catch (const std::exception &exception) {
--- a/src/store/storecall.cpp
+++ b/src/store/storecall.cpp
@@ -40,15 +40,13 @@
     try {
         const auto client = makeStoreClient(url, timeout);
         pplx::task<StoreAnswer> task =
-            client->request(request, cancel.get_token())
-                .then([client](const web::http::http_response &response) {
-                    return response.extract_string(true).then(
-                        [status = response.status_code()](const std::string &text) {
-                            // Error answers may carry any text; the status says enough.
-                            std::error_code unreadable;
-                            return StoreAnswer {status, web::json::value::parse(text, unreadable)};
-                        });
+            client->request(request, cancel.get_token()).then([client](const web::http::http_response &response) {
+                return response.extract_string(true).then([status = response.status_code()](const std::string &text) {
+                    // Error answers may carry any text; the status says enough.
+                    std::error_code unreadable;
+                    return StoreAnswer {status, web::json::value::parse(text, unreadable)};
                 });
+            });
         std::optional<StoreAnswer> answer = waitForTask(task, timeout, cancel);
         if (!answer) {
             return Error {
--- a/src/tests/flowplacementtest.cpp
+++ b/src/tests/flowplacementtest.cpp
@@ -29,6 +29,7 @@
     static std::vector<const KnownTarget *> pointers(const std::vector<KnownTarget> &targets)
     {
         std::vector<const KnownTarget *> result;
+        result.reserve(targets.size());
         for (const KnownTarget &target : targets) {
             result.push_back(&target);
         }
--- a/src/tests/fuzz/relaymessagefuzz.cpp
+++ b/src/tests/fuzz/relaymessagefuzz.cpp
@@ -17,7 +17,7 @@
     RelayAgent agent({agentPeer, "desk", Milliseconds(1000), {}}, now, format, output);
     balancer.onTable(now, relayTable(1), "fuzz");
     agent.onPeersNamed(now, {self});
-    agent.onTargetReport(now, {"desk-1", "desk", 1, 1, 2, false, Milliseconds(0)});
+    agent.onTargetReport(now, {"desk-1", "desk", 1, 1, 2, false});
     balancer.onPeersNamed(now, {agentPeer});
 
     // Each input is a sequence of chunks: a length and that many bytes of a message or packet.
