Keep flows of a silent target findable and let a leaving agent deny those of an ended one

An agent that gave up the flows of a target which was silent for three reports denied them for good when the target went on, so a balancer would have reset live flows. An agent that leaves took its ended target for one that may hold flows. Change: the agent is uncertain of unknown flows from then on; whether the target is gone no longer depends on leaving.

--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -57,7 +57,7 @@
     , peers_(settings_.self)
     , target_(settings_.reportInterval, now)
     , group_(groupIdOf(settings_.group))
-    , started_(now)
+    , uncertainSince_(now)
 {
 }
 
@@ -123,10 +123,10 @@
         return;
     }
     const AgentFlow *flow = flows_.find(head->flow);
-    const bool ended = flow == nullptr ? state(now) == TargetState::Gone : isOfEndedTarget(now, *flow);
+    const bool ended = flow == nullptr ? isTargetGone(now) : isOfEndedTarget(now, *flow);
     if (ended) {
         ++counters_.returnedNotHeld;
-        forget(now, head->flow);
+        giveUp(now, head->flow);
         returnPacket(now, from, ReturnReason::NotHeld, forward.packet());
         return;
     }
@@ -171,7 +171,7 @@
     const bool absent = flow == nullptr ? !mayHoldUnknownFlows(now) : isOfEndedTarget(now, *flow);
     if (absent) {
         ++counters_.searchesAbsent;
-        forget(now, tuple);
+        giveUp(now, tuple);
         return FlowPresence::Absent;
     }
     return flow == nullptr || flow->probed ? FlowPresence::Uncertain : FlowPresence::Held;
@@ -355,6 +355,16 @@
     }
 }
 
+void RelayAgent::giveUp(Timestamp now, const FlowTuple &tuple)
+{
+    const AgentFlow *flow = flows_.find(tuple);
+    if (flow != nullptr && flow->targetStart == target_.starts()) {
+        // The target is silent. If it goes on, it still holds the flow.
+        uncertainSince_ = now;
+    }
+    forget(now, tuple);
+}
+
 void RelayAgent::returnPacket(Timestamp now, const PeerAddress &to, ReturnReason reason, std::string packet)
 {
     wire::relay::Message message;
@@ -387,7 +397,9 @@
     }
     meter_.setSlots(report.slots);
     if (change == TargetStatus::Change::NewStart) {
-        sawTargetStart_ = target_.starts() > 1 || report.sequence <= FirstReports;
+        if (target_.starts() > 1 || report.sequence <= FirstReports) {
+            uncertainSince_.reset();
+        }
         meter_.clear(now);
         flows_.forEach([](AgentFlow &flow) { flow.requestPending = false; });
     }
@@ -517,14 +529,20 @@
     return static_cast<std::uint32_t>(opening_.size());
 }
 
+bool RelayAgent::isTargetGone(Timestamp now) const
+{
+    // Not state(): an agent that leaves still knows whether its target has ended.
+    return target_.state(now) == TargetState::Gone;
+}
+
 bool RelayAgent::isOfEndedTarget(Timestamp now, const AgentFlow &flow) const
 {
-    return state(now) == TargetState::Gone || (flow.open && flow.targetStart != target_.starts());
+    return isTargetGone(now) || (flow.open && flow.targetStart != target_.starts());
 }
 
 bool RelayAgent::mayHoldUnknownFlows(Timestamp now) const
 {
-    return !sawTargetStart_ && now - started_ < FlowRetention && state(now) != TargetState::Gone;
+    return uncertainSince_ && now - *uncertainSince_ < FlowRetention && !isTargetGone(now);
 }
 
 std::uint32_t RelayAgent::tagFor(const PeerAddress &balancer, std::uint32_t mode)
@@ -554,7 +572,7 @@
     wire::relay::Hello *hello = message.mutable_hello();
     *hello->mutable_sender() = toWire(settings_.self);
     hello->set_leaving(true);
-    hello->set_target_ended(target_.state(now) == TargetState::Gone);
+    hello->set_target_ended(isTargetGone(now));
     for (const PeerBook::Entry *balancer : peers_.withRole(PeerRole::Balancer)) {
         output_.sendToPeer(balancer->peer.address, message);
     }
--- a/src/relay/relayagent.h
+++ b/src/relay/relayagent.h
@@ -113,6 +113,8 @@
     void noteCallerPacket(Timestamp now, AgentFlow &flow, const RelayPacket &head);
     void endRequest(Timestamp now, AgentFlow &flow, bool answered);
     void forget(Timestamp now, const FlowTuple &tuple);
+    /** Forgets a flow whose target seems to have ended. */
+    void giveUp(Timestamp now, const FlowTuple &tuple);
     void returnPacket(Timestamp now, const PeerAddress &to, ReturnReason reason, std::string packet);
     void answerFlow(Timestamp now, const PeerAddress &balancer, const FlowTuple &tuple, FlowPresence presence);
     void
@@ -121,6 +123,7 @@
     void sendReports(Timestamp now);
     void fillLoad(Timestamp now, wire::relay::Load &load);
     std::uint32_t openingFlows(Timestamp now);
+    bool isTargetGone(Timestamp now) const;
     /** Whether the target has ended since the flow opened. */
     bool isOfEndedTarget(Timestamp now, const AgentFlow &flow) const;
     /** Whether the target can hold a flow that the agent has no record of. */
@@ -137,13 +140,13 @@
     RelayAgentCounters counters_;
     LatencyHistogram requestTimes_;
     GroupId group_;
-    Timestamp started_;
     Timestamp nextReport_;
     Timestamp nextSeedContact_;
     Timestamp nextSweep_;
     std::uint64_t loadSequence_ = 0;
     TargetState reportedState_ = TargetState::Unknown;
-    bool sawTargetStart_ = false;
+    /** From when on the target may hold flows that have no record; nothing if it holds none. */
+    std::optional<Timestamp> uncertainSince_;
     std::optional<Timestamp> leaving_;
     std::vector<PeerAddress> taggedBalancers_;
     std::vector<std::pair<FlowTuple, Timestamp>> opening_;
--- a/src/tests/relayagenttest.cpp
+++ b/src/tests/relayagenttest.cpp
@@ -335,6 +335,32 @@
     BOOST_TEST((answered() == FlowPresence::Absent));
 }
 
+// Guards against the reset of live flows: a target that was silent for seconds and goes on holds flows that the agent
+// has given up.
+BOOST_AUTO_TEST_CASE(agentWhoseSilentTargetGoesOnIsUncertainOfForgottenFlow)
+{
+    open(caller);
+    pass(3200);
+    forward(caller.data(1), ForwardMode::Search);
+    BOOST_TEST((answered() == FlowPresence::Absent));
+    report(2, 5000);
+    output.clear();
+    forward(caller.data(1), ForwardMode::Search);
+    BOOST_TEST(!answered().has_value());
+    BOOST_TEST(output.toTarget.size() == 1u);
+}
+
+// Guards against callers that wait for a target that ended before its agent.
+BOOST_AUTO_TEST_CASE(agentThatLeavesAfterItsTargetDeniesItsFlows)
+{
+    open(caller);
+    agent.onTargetLeft(now, "desk-1");
+    agent.beginLeave(now);
+    output.clear();
+    forward(caller.data(1), ForwardMode::Search);
+    BOOST_TEST((answered() == FlowPresence::Absent));
+}
+
 // Guards against new flows that are lost at a target that accepts nothing any more.
 BOOST_AUTO_TEST_CASE(agentWithUnansweredOpeningPacketTakesNoMoreFlows)
 {
