--- a/src/tests/daemonprocesstest.cpp
+++ b/src/tests/daemonprocesstest.cpp
@@ -195,7 +195,7 @@
     for (std::vector<std::string> arguments : roles) {
         arguments.insert(arguments.end(), {key, "--name=x", "--listen=" + formatPeerAddress(freeAddress())});
         process::ipstream log;
-        process::child child(RHUBARBLANE_DAEMON_PATH, process::args(arguments), process::std_err > log);
+        process::child child(RHUBARBLANE_DAEMON_PATH, process::args(arguments), process::std_out > log);
         awaitStart(log);
         kill(child.id(), SIGTERM);
         BOOST_REQUIRE(child.wait_for(guardTime));
