Open a new flow at the target stand-in when its port had an earlier one

Cause: the agent's socket of a new flow can get the port of a closed one, and the stand-in took the new SYN for a copy of the old flow's. The test fails without the change.

--- a/src/standins/targetstandin.cpp
+++ b/src/standins/targetstandin.cpp
@@ -82,15 +82,10 @@
     if (info == nullptr) {
         return;
     }
-    if (!session.tcp) {
-        session.tcp = std::make_unique<TcpEndpoint>(
-            info->flow.serviceAddress,
-            info->flow.servicePort,
-            info->flow.callerAddress,
-            info->flow.callerPort,
-            static_cast<std::uint32_t>(random_()),
-            [this, from](const std::string &out) { port_.send(from, out); },
-            [&session](std::string_view bytes) { session.unread.append(bytes); });
+    // An agent may bind the socket of a new flow to the port that an ended flow had.
+    const bool otherFlow = session.tcp && info->syn && !(info->flow == session.tcpFlow);
+    if (!session.tcp || otherFlow) {
+        startConversation(from, session, info->flow);
     }
     session.tcp->handlePacket(session.lastHeard, packet);
     for (std::size_t end = session.unread.find('\n'); end != std::string::npos; end = session.unread.find('\n')) {
@@ -102,6 +97,23 @@
     }
 }
 
+void TargetStandin::startConversation(const PeerAddress &from, Session &session, const FlowTuple &flow)
+{
+    const Timestamp heard = session.lastHeard;
+    session = Session();
+    session.lastHeard = heard;
+    session.conversation = ++conversations_;
+    session.tcpFlow = flow;
+    session.tcp = std::make_unique<TcpEndpoint>(
+        flow.serviceAddress,
+        flow.servicePort,
+        flow.callerAddress,
+        flow.callerPort,
+        static_cast<std::uint32_t>(random_()),
+        [this, from](const std::string &out) { port_.send(from, out); },
+        [&session](std::string_view bytes) { session.unread.append(bytes); });
+}
+
 void TargetStandin::handle(const PeerAddress &from, Session &session, const StandinMessage &message)
 {
     if (message.verb == "health") {
@@ -135,7 +147,7 @@
         reply(from, message, "busy", 0);
         return;
     }
-    waiting_.push_back({from, message});
+    waiting_.push_back({from, session.conversation, message});
     startJobs();
 }
 
@@ -198,7 +210,10 @@
 {
     countBusyTime();
     --busy_;
-    reply(job.peer, job.message, job.message.verb == "book" ? "booked" : "answer", 0);
+    const auto session = sessions_.find(job.peer);
+    if (session == sessions_.end() || session->second.conversation == job.conversation) {
+        reply(job.peer, job.message, job.message.verb == "book" ? "booked" : "answer", 0);
+    }
     startJobs();
 }
 
--- a/src/tests/standintest.cpp
+++ b/src/tests/standintest.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE Standin
 #include "standins/runreport.h"
+#include "standins/targetstandin.h"
 #include "standins/tcpendpoint.h"
 
 #include <boost/test/unit_test.hpp>
@@ -94,6 +95,43 @@
     BOOST_TEST((server.state() == TcpEndpoint::State::Finished));
 }
 
+// Guards against a target that takes the SYN of a new flow for one of an ended flow, because the agent's socket has the
+// port of an earlier one: the caller then waits for ever.
+BOOST_AUTO_TEST_CASE(targetStandinWithSecondFlowFromSamePortOpensIt)
+{
+    boost::asio::io_context context;
+    TargetStandinSettings settings;
+    settings.service = "archive";
+    settings.listen = PeerAddress {0x7f000001, 0};
+    settings.encapsulatedTcp = true;
+    const TargetStandin target(context, settings);
+    std::unique_ptr<TcpEndpoint> caller;
+    const SystemClock clock;
+    DatagramPort agent(context, PeerAddress {0x7f000001, 0}, [&](const PeerAddress &, std::string_view packet) {
+        caller->handlePacket(clock.now(), packet);
+    });
+    for (std::uint16_t callerPort = 2000; callerPort < 2002; ++callerPort) {
+        std::string answer;
+        caller = std::make_unique<TcpEndpoint>(
+            1,
+            callerPort,
+            2,
+            80,
+            100,
+            [&](const std::string &packet) { agent.send(target.localAddress(), packet); },
+            [&](std::string_view bytes) { answer.append(bytes); });
+        caller->open(clock.now());
+        caller->write(clock.now(), formatStandinMessage({"chunk", "archive", std::to_string(callerPort), 0, 0}));
+        for (int i = 0; i < 200 && answer.empty(); ++i) {
+            context.run_for(std::chrono::milliseconds(10));
+            caller->tick(clock.now());
+        }
+        BOOST_TEST(answer == formatStandinMessage({"got", "archive", std::to_string(callerPort), 0, 0}));
+        caller->close(clock.now());
+        context.run_for(std::chrono::milliseconds(50));
+    }
+}
+
 // Guards against a report that lets a broken promise pass.
 BOOST_AUTO_TEST_CASE(runReportWithEachFaultNamesThePromise)
 {
