Wait half of the latency objective for a slot and repeat undecided searches

Cause: after a loss of power of all VMs, callers of long flows repeat packets of dead flows. A balancer that did not know all agents yet dropped them, so a reset came only with the caller's next repetition, up to 0.8 s later. New flows were queued for up to half of their time limit and answered late.

Change: a search that ends undecided is repeated as soon as all agents are known. A new flow waits for a slot for half of its latency objective.

--- a/src/relay/flowsearches.cpp
+++ b/src/relay/flowsearches.cpp
@@ -11,6 +11,8 @@
 
 // Callers have at most 16 packets in flight.
 constexpr std::size_t WaitingPackets = 16;
+// With one packet of 1.2 KB each they take 5 MB of the 74 MB of the smallest VM.
+constexpr std::size_t MaximumSearches = 4096;
 // A round trip between availability zones takes 3 ms; the rest is for agents that wait for their share of a processor.
 constexpr Milliseconds AnswerTimeout(60);
 // Callers repeat a packet at most 1.6 s later, which starts a new search.
@@ -27,7 +29,7 @@
 FlowSearch &FlowSearches::start(Timestamp now, const RelayPacket &head, std::string_view packet)
 {
     FlowSearch &search = searches_[head.flow];
-    search = FlowSearch {now, head, false, {}, {}};
+    search = FlowSearch {now, head, false, false, {}, {}};
     addPacket(search, head, packet);
     return search;
 }
@@ -45,6 +47,28 @@
     searches_.erase(tuple);
 }
 
+void FlowSearches::leaveUndecided(FlowSearch &search)
+{
+    search.undecided = true;
+    search.packets.erase(search.packets.begin(), std::prev(search.packets.end()));
+}
+
+bool FlowSearches::isFull() const
+{
+    return searches_.size() >= MaximumSearches;
+}
+
+std::vector<FlowTuple> FlowSearches::undecided() const
+{
+    std::vector<FlowTuple> result;
+    for (const auto &[tuple, search] : searches_) {
+        if (search.undecided) {
+            result.push_back(tuple);
+        }
+    }
+    return result;
+}
+
 bool FlowSearches::isOverdue(Timestamp now, const FlowSearch &search)
 {
     return now - search.started >= AnswerTimeout;
--- a/src/relay/flowsearches.h
+++ b/src/relay/flowsearches.h
@@ -22,6 +22,8 @@
     RelayPacket head;
     /** No agent was unknown when the search began, so that the flow is lost if all deny it. */
     bool asksAll = false;
+    /** All agents denied the flow while the balancer did not know all of them. */
+    bool undecided = false;
     /** Agents that have not denied the flow. */
     std::set<PeerAddress> unanswered;
     /** Packets of the caller that wait for the answer. */
@@ -42,6 +44,15 @@
 
     void erase(const FlowTuple &tuple);
 
+    /** Keeps the search for later, with its last packet only. */
+    static void leaveUndecided(FlowSearch &search);
+
+    /** More searches would take too much memory. */
+    bool isFull() const;
+
+    /** The flows whose searches ended undecided. */
+    std::vector<FlowTuple> undecided() const;
+
     /** Whether a search has waited so long that its questions or answers must have been lost. */
     static bool isOverdue(Timestamp now, const FlowSearch &search);
 
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -27,7 +27,8 @@
 constexpr Milliseconds SilenceOfDead(5000);
 // One request for each round trip is enough even when several peers announce a newer table.
 constexpr Milliseconds TableRequestInterval(100);
-// Share of a caller's time limit that a request may wait for a slot, in percent.
+// Share of a service's latency objective that a request may wait for a slot, in percent; the rest is for its work and
+// the network. A longer queue makes all requests late without serving more of them.
 constexpr std::int64_t AcceptedWaitPercent = 50;
 
 } // namespace
@@ -176,11 +177,26 @@
         FlowSearches::addPacket(*pending, head, packet);
         return;
     }
-    FlowSearch &search = searches_.start(now, head, packet);
+    if (pending == nullptr && searches_.isFull()) {
+        ++counters_.droppedNoFlow;
+        return;
+    }
+    searches_.start(now, head, packet);
+    askAgents(now, service, head.flow, except);
+}
+
+void RelayBalancer::askAgents(Timestamp now,
+                              const RelayedService &service,
+                              const FlowTuple &tuple,
+                              const PeerAddress &except)
+{
+    FlowSearch &search = *searches_.find(tuple);
+    search.started = now;
+    search.undecided = false;
     search.asksAll = knowsAllAgents(now);
     bool anyAgent = false;
     wire::relay::Message message;
-    *message.mutable_flow_query()->mutable_flow() = toRelayFlow(head.flow);
+    *message.mutable_flow_query()->mutable_flow() = toRelayFlow(tuple);
     for (const WeightedGroup &group : service.groups) {
         message.mutable_flow_query()->set_group(group.id.value());
         for (const KnownTarget *target : targets_.ofGroup(group.id)) {
@@ -196,28 +212,47 @@
         }
     }
     if (!anyAgent) {
-        ++counters_.droppedNoFlow;
-        searches_.erase(head.flow);
+        FlowSearches::leaveUndecided(search);
         return;
     }
     ++counters_.searches;
-    concludeSearch(now, head.flow);
+    concludeSearch(now, tuple);
+}
+
+void RelayBalancer::repeatUndecidedSearches(Timestamp now)
+{
+    const std::vector<FlowTuple> undecided = searches_.undecided();
+    if (undecided.empty() || !table_ || !knowsAllAgents(now)) {
+        return;
+    }
+    for (const FlowTuple &tuple : undecided) {
+        const RelayedService *service = table_->find(tuple);
+        if (service == nullptr) {
+            searches_.erase(tuple);
+        } else {
+            askAgents(now, *service, tuple, PeerAddress());
+        }
+    }
 }
 
 void RelayBalancer::concludeSearch(Timestamp now, const FlowTuple &tuple)
 {
-    const FlowSearch *search = searches_.find(tuple);
+    FlowSearch *search = searches_.find(tuple);
     if (search == nullptr || !search->unanswered.empty()) {
         return;
     }
     const RelayPacket head = search->head;
     const bool certain = search->asksAll;
-    searches_.erase(tuple);
     output_.logDecision("flowLost",
                         {{"flow", formatFlowTuple(tuple)},
                          {"targets", std::to_string(targets_.size())},
-                         {"outcome", certain ? "reset" : "dropped"}});
-    if (certain && !head.reset) {
+                         {"outcome", certain ? "reset" : "undecided"}});
+    if (!certain) {
+        FlowSearches::leaveUndecided(*search);
+        return;
+    }
+    searches_.erase(tuple);
+    if (!head.reset) {
         ++counters_.flowsLost;
         resetCaller(head);
     }
@@ -472,6 +507,7 @@
             offerNext(now, *flow, "unanswered");
         }
     }
+    repeatUndecidedSearches(now);
     peers_.onTick(now);
     if (now < nextSweep_) {
         return;
@@ -487,7 +523,8 @@
 
 Milliseconds RelayBalancer::acceptedWait(const RelayedService &service) const
 {
-    return Milliseconds(service.timeout.count() * AcceptedWaitPercent / 100);
+    const Milliseconds limit = service.objective > Milliseconds(0) ? service.objective : service.timeout;
+    return Milliseconds(limit.count() * AcceptedWaitPercent / 100);
 }
 
 void RelayBalancer::beginLeave()
--- a/src/relay/relaybalancer.h
+++ b/src/relay/relaybalancer.h
@@ -134,6 +134,9 @@
                 const RelayPacket &head,
                 std::string_view packet,
                 const PeerAddress &except);
+    void askAgents(Timestamp now, const RelayedService &service, const FlowTuple &tuple, const PeerAddress &except);
+    /** Asks again for the flows whose searches ended before the balancer knew all agents. */
+    void repeatUndecidedSearches(Timestamp now);
     /** Resets the caller when all agents said that they do not hold the flow. */
     void concludeSearch(Timestamp now, const FlowTuple &tuple);
     void handleSearchAnswer(Timestamp now, const PeerAddress &from, const FlowTuple &tuple, FlowPresence presence);
--- a/src/tests/relaybalancertest.cpp
+++ b/src/tests/relaybalancertest.cpp
@@ -284,6 +284,27 @@
     BOOST_TEST(output.decided("flowLost"));
 }
 
+// Guards against callers that repeat packets of a dead flow into the void after a loss of power: seen on dryer-book,
+// scale-2, where resets came up to a second after the agents were back.
+BOOST_AUTO_TEST_CASE(balancerThatLearnsLastAgentResetsUndecidedFlow)
+{
+    learnAll();
+    const Peer third = relayPeer("agent-3", PeerRole::Agent, 13);
+    balancer.onPeersNamed(now, {third});
+    balancer.onCallerPacket(now, caller.data(1));
+    answer(first, caller, FlowPresence::Absent);
+    answer(second, caller, FlowPresence::Absent);
+    report(third, 1);
+    BOOST_TEST(output.toCallers.empty());
+    output.clear();
+    balancer.onTick(now);
+    BOOST_TEST(asked().size() == 3u);
+    for (const Peer &agent : {first, second, third}) {
+        answer(agent, caller, FlowPresence::Absent);
+    }
+    BOOST_TEST(output.toCallers.size() == 1u);
+}
+
 // Guards against the reset of an open flow whose agent became known while others were asked: seen as FLOW on
 // dryer-book-grown, quiet-1, after a restart of a balancer.
 BOOST_AUTO_TEST_CASE(balancerThatLearnsOfAgentDuringSearchDoesNotResetFlow)
