Let the expected requests of a target shrink with the age of its load

Cause: in a burst of three times the usual traffic, balancers refused flows while targets had free slots. A target that looked full got no offers, so no answer told the balancer its load until the next report, up to 250 ms later.

Change: requests that must have ended since the load was reported no longer count.

--- a/src/relay/flowplacement.cpp
+++ b/src/relay/flowplacement.cpp
@@ -40,54 +40,56 @@
     return measured == 0 ? DefaultServiceTimeMs : sum / measured;
 }
 
-std::uint32_t expectedRequests(const KnownTarget &target)
+/** Requests that must still be at the target: those of its last load and later offers, less those that ended since. */
+std::uint32_t expectedRequests(Timestamp now, const KnownTarget &target, double serviceTimeMs)
 {
-    return target.busy + target.opening + target.offered;
+    const std::uint32_t known = target.busy + target.opening + target.offered;
+    const auto age = static_cast<double>(std::max<std::int64_t>(0, (now - target.loadTime).count()));
+    const auto ended = static_cast<std::uint32_t>(std::min(age / serviceTimeMs * target.slots, 1.0 * known));
+    return known - ended;
 }
 
-bool isQueueFull(const KnownTarget *target)
+bool contains(const std::vector<PeerAddress> &addresses, const PeerAddress &address)
 {
-    return expectedRequests(*target) >= target->slots + QueueLimit;
+    return std::find(addresses.begin(), addresses.end(), address) != addresses.end();
 }
 
-bool hasFreeSlot(const KnownTarget &target)
-{
-    return expectedRequests(target) < target.slots;
-}
+} // namespace
 
-OfferBasis basisOf(Timestamp now, const KnownTarget &target)
+std::string nameOf(Refusal refusal)
 {
-    return {expectedRequests(target), target.serviceTimeMs, now - target.heard};
+    return refusal == Refusal::NoTarget ? "noTarget" : "overload";
 }
 
-double freeCapacity(const KnownTarget &target, double mean)
+FlowPlacement::FlowPlacement(std::uint64_t seed)
+    : random_(seed)
 {
-    return target.slots * std::max(LeastFreeShare, 1.0 - target.utilization) / serviceTimeOf(target, mean);
 }
 
-bool contains(const std::vector<PeerAddress> &addresses, const PeerAddress &address)
+FlowPlacement::Candidate::Candidate(Timestamp now, const KnownTarget &known, double meanServiceTimeMs)
+    : target(&known)
+    , serviceTimeMs(serviceTimeOf(known, meanServiceTimeMs))
+    , requests(expectedRequests(now, known, serviceTimeMs))
 {
-    return std::find(addresses.begin(), addresses.end(), address) != addresses.end();
 }
 
-} // namespace
-
-std::string nameOf(Refusal refusal)
+double FlowPlacement::Candidate::expectedTime() const
 {
-    return refusal == Refusal::NoTarget ? "noTarget" : "overload";
+    const double waiting = requests >= target->slots ? requests + 1 - target->slots : 0;
+    return serviceTimeMs * (1.0 + waiting / target->slots) + (target->sameZone ? 0.0 : CrossZoneMs);
 }
 
-FlowPlacement::FlowPlacement(std::uint64_t seed)
-    : random_(seed)
+double FlowPlacement::Candidate::freeCapacity() const
 {
+    return target->slots * std::max(LeastFreeShare, 1.0 - target->utilization) / serviceTimeMs;
 }
 
-double FlowPlacement::expectedTime(const KnownTarget &target, double meanServiceTimeMs)
+Offer FlowPlacement::Candidate::offer(Timestamp now, Milliseconds acceptedWait, bool last) const
 {
-    const double serviceTime = serviceTimeOf(target, meanServiceTimeMs);
-    const std::uint32_t requests = expectedRequests(target) + 1;
-    const double waiting = requests > target.slots ? requests - target.slots : 0;
-    return serviceTime * (1.0 + waiting / target.slots) + (target.sameZone ? 0.0 : CrossZoneMs);
+    return {target->agent.address,
+            acceptedWait,
+            last,
+            OfferBasis {requests, target->serviceTimeMs, now - target->loadTime}};
 }
 
 std::variant<Offer, Refusal> FlowPlacement::next(Timestamp now,
@@ -106,66 +108,59 @@
         return Refusal::Overload;
     }
     const double mean = meanServiceTime(usable);
-    std::vector<const KnownTarget *> untried;
-    std::copy_if(usable.begin(), usable.end(), std::back_inserter(untried), [&](const KnownTarget *target) {
-        return !contains(history.tried, target->agent.address);
-    });
-    if (!untried.empty() && history.tried.size() < OffersWithFreeSlot) {
-        if (const KnownTarget *target = chooseFree(untried, mean)) {
-            return Offer {target->agent.address, Milliseconds(0), false, basisOf(now, *target)};
+    std::vector<Candidate> withQueue;
+    std::vector<Candidate> withFreeSlot;
+    for (const KnownTarget *target : usable) {
+        const Candidate candidate(now, *target, mean);
+        if (candidate.requests < target->slots && !contains(history.tried, target->agent.address)) {
+            withFreeSlot.push_back(candidate);
+        }
+        if (candidate.requests < target->slots + QueueLimit) {
+            withQueue.push_back(candidate);
         }
     }
-    usable.erase(std::remove_if(usable.begin(), usable.end(), isQueueFull), usable.end());
-    if (usable.empty()) {
+    if (!withFreeSlot.empty() && history.tried.size() < OffersWithFreeSlot) {
+        return chooseFree(withFreeSlot).offer(now, Milliseconds(0), false);
+    }
+    if (withQueue.empty()) {
         return Refusal::Overload;
     }
-    const KnownTarget *best =
-        *std::min_element(usable.begin(), usable.end(), [mean](const KnownTarget *a, const KnownTarget *b) {
-            return expectedTime(*a, mean) < expectedTime(*b, mean);
+    const Candidate &best =
+        *std::min_element(withQueue.begin(), withQueue.end(), [](const Candidate &a, const Candidate &b) {
+            return a.expectedTime() < b.expectedTime();
         });
-    return Offer {best->agent.address, acceptedWait, true, basisOf(now, *best)};
+    return best.offer(now, acceptedWait, true);
 }
 
-const KnownTarget *FlowPlacement::chooseFree(const std::vector<const KnownTarget *> &candidates,
-                                             double meanServiceTimeMs)
+FlowPlacement::Candidate FlowPlacement::chooseFree(const std::vector<Candidate> &candidates)
 {
     double utilization = 0.0;
-    for (const KnownTarget *target : candidates) {
-        utilization += target->utilization;
+    for (const Candidate &candidate : candidates) {
+        utilization += candidate.target->utilization;
     }
     const double tolerated = utilization / static_cast<double>(candidates.size()) + ZoneTolerance;
-    std::vector<const KnownTarget *> free;
-    std::vector<const KnownTarget *> freeInZone;
-    for (const KnownTarget *target : candidates) {
-        if (!hasFreeSlot(*target)) {
-            continue;
-        }
-        free.push_back(target);
-        if (target->sameZone && target->utilization <= tolerated) {
-            freeInZone.push_back(target);
-        }
-    }
-    const std::vector<const KnownTarget *> &preferred = freeInZone.empty() ? free : freeInZone;
-    if (preferred.empty()) {
-        return nullptr;
-    }
-    const KnownTarget *first = drawByFreeCapacity(preferred, meanServiceTimeMs);
-    const KnownTarget *second = drawByFreeCapacity(preferred, meanServiceTimeMs);
-    return expectedTime(*second, meanServiceTimeMs) < expectedTime(*first, meanServiceTimeMs) ? second : first;
+    std::vector<Candidate> inZone;
+    std::copy_if(
+        candidates.begin(), candidates.end(), std::back_inserter(inZone), [tolerated](const Candidate &candidate) {
+            return candidate.target->sameZone && candidate.target->utilization <= tolerated;
+        });
+    const std::vector<Candidate> &preferred = inZone.empty() ? candidates : inZone;
+    const Candidate &first = drawByFreeCapacity(preferred);
+    const Candidate &second = drawByFreeCapacity(preferred);
+    return second.expectedTime() < first.expectedTime() ? second : first;
 }
 
-const KnownTarget *FlowPlacement::drawByFreeCapacity(const std::vector<const KnownTarget *> &candidates,
-                                                     double meanServiceTimeMs)
+const FlowPlacement::Candidate &FlowPlacement::drawByFreeCapacity(const std::vector<Candidate> &candidates)
 {
     double total = 0.0;
-    for (const KnownTarget *target : candidates) {
-        total += freeCapacity(*target, meanServiceTimeMs);
+    for (const Candidate &candidate : candidates) {
+        total += candidate.freeCapacity();
     }
     double position = std::uniform_real_distribution<double>(0.0, total)(random_);
-    for (const KnownTarget *target : candidates) {
-        position -= freeCapacity(*target, meanServiceTimeMs);
+    for (const Candidate &candidate : candidates) {
+        position -= candidate.freeCapacity();
         if (position < 0.0) {
-            return target;
+            return candidate;
         }
     }
     return candidates.back();
--- a/src/relay/flowplacement.h
+++ b/src/relay/flowplacement.h
@@ -59,12 +59,24 @@
                                       const OfferHistory &history,
                                       Milliseconds acceptedWait);
 
-    /** Expected time from the offer to the end of a request, in ms. */
-    static double expectedTime(const KnownTarget &target, double meanServiceTimeMs);
-
 private:
-    const KnownTarget *chooseFree(const std::vector<const KnownTarget *> &candidates, double meanServiceTimeMs);
-    const KnownTarget *drawByFreeCapacity(const std::vector<const KnownTarget *> &candidates, double meanServiceTimeMs);
+    /** A target with what is expected of it now. */
+    struct Candidate {
+        Candidate(Timestamp now, const KnownTarget &known, double meanServiceTimeMs);
+
+        /** From the offer to the end of a request, in ms. */
+        double expectedTime() const;
+        /** Requests per millisecond. */
+        double freeCapacity() const;
+        Offer offer(Timestamp now, Milliseconds acceptedWait, bool last) const;
+
+        const KnownTarget *target;
+        double serviceTimeMs;
+        std::uint32_t requests;
+    };
+
+    Candidate chooseFree(const std::vector<Candidate> &candidates);
+    const Candidate &drawByFreeCapacity(const std::vector<Candidate> &candidates);
 
     std::mt19937_64 random_;
 };
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -29,7 +29,7 @@
 constexpr Milliseconds TableRequestInterval(100);
 // Share of a service's latency objective that a request may wait for a slot, in percent; the rest is for its work and
 // the network. A longer queue makes all requests late without serving more of them.
-constexpr std::int64_t AcceptedWaitPercent = 50;
+constexpr std::int64_t AcceptedWaitPercent = 30;
 
 } // namespace
 
--- a/src/relay/targetdirectory.cpp
+++ b/src/relay/targetdirectory.cpp
@@ -73,6 +73,7 @@
         return;
     }
     target.sequence = load.sequence();
+    target.loadTime = now;
     target.state = stateOf(load);
     target.slots = std::max<std::uint32_t>(1, load.slots());
     target.busy = load.busy();
--- a/src/relay/targetdirectory.h
+++ b/src/relay/targetdirectory.h
@@ -32,6 +32,8 @@
     double utilization = 0.0;
 
     Timestamp heard;
+    /** When the load was reported. */
+    Timestamp loadTime;
     Milliseconds reportInterval = ShortestReportInterval;
     /** New flows of this balancer that the last load does not count yet. */
     std::uint32_t offered = 0;
--- a/src/tests/flowplacementtest.cpp
+++ b/src/tests/flowplacementtest.cpp
@@ -23,6 +23,7 @@
         result.serviceTimeMs = serviceTimeMs;
         result.sameZone = sameZone;
         result.heard = now;
+        result.loadTime = now;
         return result;
     }
 
@@ -81,6 +82,22 @@
     BOOST_TEST((refusal(targets, {}) == Refusal::Overload));
 }
 
+// Guards against a balancer that believes in full queues until the next report: in a burst of three times the usual
+// traffic it refused flows for up to 250 ms while the targets had long free slots.
+BOOST_AUTO_TEST_CASE(placementWithFullQueuesOfLongAgoOffersAgain)
+{
+    const std::vector<KnownTarget> targets {target(1, 4 + QueueLimit, 20.0), target(2, 4 + QueueLimit, 20.0)};
+    BOOST_TEST((refusal(targets, {}) == Refusal::Overload));
+    now = now + Milliseconds(20);
+    const std::variant<Offer, Refusal> next = placement.next(now, pointers(targets), {}, wait);
+    const Offer *offer = std::get_if<Offer>(&next);
+    BOOST_REQUIRE(offer != nullptr);
+    BOOST_TEST(offer->last);
+    BOOST_TEST(offer->basis.requests == QueueLimit);
+    now = now + Milliseconds(60);
+    BOOST_TEST(!refusal(targets, {}));
+}
+
 // Guards against new flows at targets without a free slot while others have one.
 BOOST_AUTO_TEST_CASE(placementWithFreeSlotsOffersOnlyThose)
 {
