Keep flows of a living target that an agent saw before its first report

Cause: a restarted agent that got packets of its target before the target's next status report noted them under start 0, and took the flows for ended when the report counted as start 1. It denied them, and the balancer reset callers. The test fails without the change.

--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -401,7 +401,12 @@
             uncertainSince_.reset();
         }
         meter_.clear(now);
-        flows_.forEach([](AgentFlow &flow) { flow.requestPending = false; });
+        // A target that reported before this agent started still holds the flows of which it sent packets.
+        const bool heldBefore = target_.starts() == 1 && report.sequence > FirstReports;
+        flows_.forEach([&](AgentFlow &flow) {
+            flow.requestPending = false;
+            flow.targetStart = heldBefore ? target_.starts() : flow.targetStart;
+        });
     }
     if (change != TargetStatus::Change::None) {
         output_.logDecision("targetState",
--- a/src/tests/relayagenttest.cpp
+++ b/src/tests/relayagenttest.cpp
@@ -273,6 +273,30 @@
     BOOST_TEST((presences[1] == FlowPresence::Absent));
 }
 
+// Guards against the reset of a live flow: an agent that was restarted in turn took the flows whose packets came before
+// the target's first report for flows of an ended target. Seen by the soak with seed 5.
+BOOST_AUTO_TEST_CASE(agentThatSawPacketBeforeFirstReportKeepsFlowOfLivingTarget)
+{
+    RecordedOutput restartedOutput;
+    RelayAgent restarted(
+        {relayPeer("agent-1", PeerRole::Agent, 9), "desk", Milliseconds(1000), {}}, now, format, restartedOutput);
+    restarted.onTargetPacket(now, caller.answer(false, 50));
+    TargetReport living;
+    living.target = "desk-1";
+    living.group = "desk";
+    living.started = 5000;
+    living.sequence = 40;
+    restarted.onTargetReport(now, living);
+    restartedOutput.clear();
+    wire::relay::Message message;
+    message.mutable_forward()->set_group(groupIdOf("desk").value());
+    message.mutable_forward()->set_mode(static_cast<std::uint32_t>(ForwardMode::Known));
+    message.mutable_forward()->set_packet(caller.data(1));
+    restarted.onPeerMessage(now, balancer, message);
+    BOOST_TEST(restartedOutput.toTarget.size() == 1u);
+    BOOST_TEST(restartedOutput.toPeers.empty());
+}
+
 // Guards against questions that an agent answers wrongly: a denied flow is reset.
 BOOST_AUTO_TEST_CASE(agentAskedForFlowSaysWhetherItsTargetHoldsIt)
 {
