Let urgent flows wait longer for a slot than others

Cause: at overload all services of a group had the same limit of waiting, so bookings were refused as often as board streams, which are less urgent.

Change: a service whose targets also serve a more urgent one waits for 25 percent of its objective, the others for 45 percent.

--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -35,7 +35,10 @@
 constexpr Milliseconds TableRequestInterval(100);
 // Share of a service's latency objective that a request may wait for a slot, in percent; the rest is for its work and
 // the network. A longer queue makes all requests late without serving more of them.
-constexpr std::int64_t AcceptedWaitPercent = 30;
+constexpr std::int64_t AcceptedWaitPercent = 45;
+// The same for a service whose targets also serve a more urgent one: at overload the queue stays short enough for the
+// urgent requests, and the others are refused first.
+constexpr std::int64_t LessUrgentWaitPercent = 25;
 
 } // namespace
 
@@ -528,6 +531,7 @@
                          {"services", std::to_string(table.services.size())},
                          {"from", std::string(source)}});
     table_ = std::move(table);
+    table_->indexPriorities();
     peers_.setTableVersion(now, table_->version);
 }
 
@@ -570,7 +574,8 @@
 Milliseconds RelayBalancer::acceptedWait(const RelayedService &service) const
 {
     const Milliseconds limit = service.objective > Milliseconds(0) ? service.objective : service.timeout;
-    return Milliseconds(limit.count() * AcceptedWaitPercent / 100);
+    const bool lessUrgent = table_->isLessUrgent(service);
+    return Milliseconds(limit.count() * (lessUrgent ? LessUrgentWaitPercent : AcceptedWaitPercent) / 100);
 }
 
 void RelayBalancer::beginLeave()
--- a/src/relay/servicetable.cpp
+++ b/src/relay/servicetable.cpp
@@ -2,6 +2,7 @@
 
 #include "base/invariant.h"
 
+#include <algorithm>
 #include <numeric>
 #include <utility>
 
@@ -74,6 +75,25 @@
     return groups.back();
 }
 
+void ServiceTable::indexPriorities()
+{
+    urgentPriorities.clear();
+    for (const auto &[address, service] : services) {
+        for (const WeightedGroup &group : service.groups) {
+            const auto [position, inserted] = urgentPriorities.try_emplace(group.id, service.priority);
+            position->second = std::min(position->second, service.priority);
+        }
+    }
+}
+
+bool ServiceTable::isLessUrgent(const RelayedService &service) const
+{
+    return std::any_of(service.groups.begin(), service.groups.end(), [&](const WeightedGroup &group) {
+        const auto found = urgentPriorities.find(group.id);
+        return found != urgentPriorities.end() && found->second < service.priority;
+    });
+}
+
 const RelayedService *ServiceTable::find(const FlowTuple &flow) const
 {
     const auto found = services.find(PeerAddress {flow.serviceAddress, flow.servicePort});
--- a/src/relay/servicetable.h
+++ b/src/relay/servicetable.h
@@ -32,7 +32,7 @@
     Milliseconds timeout = Milliseconds(0);
     /** Time in which a request should be answered. */
     Milliseconds objective = Milliseconds(0);
-    std::uint32_t priority = 0;
+    std::uint32_t priority = 0; ///< 0 is the most urgent.
     bool atMostOnce = false;
 
     /** The group of a new flow: the same on every balancer. The service must have a group. */
@@ -44,8 +44,16 @@
     TableVersion version;
     Milliseconds idleTimeout = Milliseconds(0);
     std::map<PeerAddress, RelayedService> services;
+    /** The most urgent priority among the services of each group; see indexPriorities(). */
+    std::map<GroupId, std::uint32_t> urgentPriorities;
 
     const RelayedService *find(const FlowTuple &flow) const;
+
+    /** To be called when the services are complete. */
+    void indexPriorities();
+
+    /** Whether a group of the service also serves a more urgent one. */
+    bool isLessUrgent(const RelayedService &service) const;
 };
 
 /** Splits a table into messages that fit one datagram each. */
--- a/src/tests/relaybalancertest.cpp
+++ b/src/tests/relaybalancertest.cpp
@@ -244,6 +244,31 @@
     BOOST_TEST(forwarded().size() == 2u);
 }
 
+// Guards against urgent requests that are refused at overload while less urgent ones fill the queues.
+BOOST_AUTO_TEST_CASE(balancerWithTwoPrioritiesLetsUrgentFlowWaitLonger)
+{
+    ServiceTable table = relayTable(8);
+    RelayedService lessUrgent = table.services.begin()->second;
+    lessUrgent.address.port = 444;
+    lessUrgent.priority = 2;
+    table.services.begin()->second.priority = 1;
+    table.services[lessUrgent.address] = lessUrgent;
+    balancer.onTable(now, table, "test");
+    learnAll();
+    report(first, 3, TargetState::Ready, "desk", 4);
+    report(second, 3, TargetState::Ready, "desk", 4);
+    std::vector<std::uint32_t> waits;
+    for (const std::uint16_t port : {443, 444}) {
+        output.clear();
+        caller.flow.servicePort = port;
+        balancer.onCallerPacket(now, caller.opening());
+        BOOST_REQUIRE(output.toPeers.size() == 1u);
+        waits.push_back(output.toPeers[0].second.forward().accepted_wait_ms());
+    }
+    BOOST_TEST(waits[0] == 45u);
+    BOOST_TEST(waits[1] == 25u);
+}
+
 // Guards against a caller that waits when no target can serve it.
 BOOST_AUTO_TEST_CASE(balancerWithAllOffersReturnedResetsCaller)
 {
