Forget undecided searches after their retention period

Cause: a search that was repeated at each tick began anew, so one for a service whose agents are all gone never expired. 4096 of them would have stopped all other searches. Found by reading the change; no run showed it.

Change: a repeated search keeps its start. The test failed before, with one search left after 4 s, and passes now.

--- a/src/relay/flowsearches.h
+++ b/src/relay/flowsearches.h
@@ -50,6 +50,11 @@
     /** More searches would take too much memory. */
     bool isFull() const;
 
+    std::size_t size() const
+    {
+        return searches_.size();
+    }
+
     /** The flows whose searches ended undecided. */
     std::vector<FlowTuple> undecided() const;
 
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -218,7 +218,6 @@
                               const PeerAddress &except)
 {
     FlowSearch &search = *searches_.find(tuple);
-    search.started = now;
     search.undecided = false;
     search.asksAll = knowsAllAgents(now);
     bool anyAgent = false;
--- a/src/relay/relaybalancer.h
+++ b/src/relay/relaybalancer.h
@@ -122,6 +122,10 @@
     {
         return flows_.size();
     }
+    std::size_t searches() const
+    {
+        return searches_.size();
+    }
 
 private:
     void handleReport(Timestamp now, const PeerAddress &from, const wire::relay::Report &report);
--- a/src/tests/relaybalancertest.cpp
+++ b/src/tests/relaybalancertest.cpp
@@ -205,6 +205,19 @@
     BOOST_TEST(balancer.peers().withRole(PeerRole::Agent).size() == 1u);
 }
 
+// Guards against searches that never end when a service has lost all its agents: they would be repeated at each tick
+// and fill the table of searches, so that no other flow could be searched for.
+BOOST_AUTO_TEST_CASE(balancerWithServiceWithoutAgentsForgetsItsSearches)
+{
+    report(first, 1, TargetState::Ready, "other");
+    balancer.onPeersNamed(now, {first});
+    pass(800);
+    balancer.onCallerPacket(now, caller.data(1));
+    BOOST_TEST(balancer.searches() == 1u);
+    pass(4000);
+    BOOST_TEST(balancer.searches() == 0u);
+}
+
 // Guards against the reset of a live flow by a balancer that started while the store was away: its first read listed
 // only the agents whose lapsed entries were back. Seen by the soak with seed 142.
 BOOST_AUTO_TEST_CASE(balancerWhoseFirstReadCameLateLearnsFromThenOn)
