Split the relaying balancer by concern

RelayBalancer keeps the messages and the table; FlowOpener offers and refuses new flows, FlowFinder searches for owners, AgentCoverage decides whether all agents are known. The context that they share follows AgentContext.

--- /dev/null
+++ b/src/relay/flowfinder.cpp
@@ -0,0 +1,142 @@
+#include "relay/flowfinder.h"
+
+#include "relay/relayflow.h"
+
+#include <string>
+#include <vector>
+
+namespace rhubarblane
+{
+
+FlowFinder::FlowFinder(RelayBalancerContext &context)
+    : context_(context)
+    , coverage_(context.started, context.settings.self.incarnation)
+{
+}
+
+void FlowFinder::search(Timestamp now,
+                        const RelayedService &service,
+                        const RelayPacket &head,
+                        std::string_view packet,
+                        const PeerAddress &except)
+{
+    FlowSearch *pending = searches_.find(head.flow);
+    if (pending != nullptr && !FlowSearches::isOverdue(now, *pending)) {
+        FlowSearches::addPacket(*pending, head, packet);
+        return;
+    }
+    if (pending == nullptr && searches_.isFull()) {
+        ++context_.counters.droppedNoFlow;
+        return;
+    }
+    searches_.start(now, head, packet);
+    askAgents(now, service, head.flow, except);
+}
+
+void FlowFinder::askAgents(Timestamp now,
+                           const RelayedService &service,
+                           const FlowTuple &tuple,
+                           const PeerAddress &except)
+{
+    FlowSearch &search = *searches_.find(tuple);
+    search.undecided = false;
+    search.asksAll = knowsAllAgents(now);
+    bool anyAgent = false;
+    wire::relay::Message message;
+    *message.mutable_flow_query()->mutable_flow() = toRelayFlow(tuple);
+    for (const WeightedGroup &group : service.groups) {
+        message.mutable_flow_query()->set_group(group.id.value());
+        for (const KnownTarget *target : context_.targets.ofGroup(group.id)) {
+            anyAgent = true;
+            const PeerAddress &agent = target->agent.address;
+            if (agent == except) {
+                continue;
+            }
+            if (!context_.isSilent(now, *target)) {
+                search.unanswered.insert(agent);
+            }
+            context_.output.sendToPeer(agent, message);
+        }
+    }
+    if (!anyAgent) {
+        FlowSearches::leaveUndecided(search);
+        return;
+    }
+    ++context_.counters.searches;
+    conclude(tuple);
+}
+
+void FlowFinder::onTick(Timestamp now)
+{
+    const std::vector<FlowTuple> undecided = searches_.undecided();
+    if (undecided.empty() || !context_.table || !knowsAllAgents(now)) {
+        return;
+    }
+    for (const FlowTuple &tuple : undecided) {
+        const RelayedService *service = context_.table->find(tuple);
+        if (service == nullptr) {
+            searches_.erase(tuple);
+        } else {
+            askAgents(now, *service, tuple, PeerAddress());
+        }
+    }
+}
+
+void FlowFinder::conclude(const FlowTuple &tuple)
+{
+    FlowSearch *search = searches_.find(tuple);
+    if (search == nullptr || !search->unanswered.empty()) {
+        return;
+    }
+    const RelayPacket head = search->head;
+    const bool certain = search->asksAll;
+    context_.output.logDecision("flowLost",
+                                {{"flow", formatFlowTuple(tuple)},
+                                 {"targets", std::to_string(context_.targets.size())},
+                                 {"outcome", certain ? "reset" : "undecided"}});
+    if (!certain) {
+        FlowSearches::leaveUndecided(*search);
+        return;
+    }
+    searches_.erase(tuple);
+    if (!head.reset) {
+        ++context_.counters.flowsLost;
+        context_.resetCaller(head);
+    }
+}
+
+void FlowFinder::handleDenial(Timestamp now, const PeerAddress &agent, const FlowTuple &tuple, FlowPresence presence)
+{
+    FlowSearch *search = searches_.find(tuple);
+    if (search == nullptr) {
+        return;
+    }
+    const KnownTarget *target = context_.targets.find(agent);
+    if (presence == FlowPresence::Uncertain && target != nullptr) {
+        // The target's own answer to a packet of the flow decides.
+        context_.forward(agent, target->group, ForwardMode::Search, Milliseconds(0), search->packets.front());
+        return;
+    }
+    search->unanswered.erase(agent);
+    conclude(tuple);
+}
+
+void FlowFinder::finish(const PeerAddress &owner, const FlowTuple &tuple)
+{
+    const KnownTarget *target = context_.targets.find(owner);
+    const FlowSearch *search = searches_.find(tuple);
+    if (target != nullptr && search != nullptr) {
+        for (const std::string &packet : search->packets) {
+            ++context_.counters.forwarded;
+            context_.forward(owner, target->group, ForwardMode::Known, Milliseconds(0), packet);
+        }
+    }
+    searches_.erase(tuple);
+}
+
+bool FlowFinder::knowsAllAgents(Timestamp now) const
+{
+    return coverage_.isComplete(now, context_.peers.book(), context_.targets);
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/relay/flowopener.cpp
@@ -0,0 +1,166 @@
+#include "relay/flowopener.h"
+
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+// A round trip between availability zones takes 3 ms; the rest is for an agent that waits for its share of a processor.
+constexpr Milliseconds OfferTimeout(40);
+// Agents report within a second of the first contact; until then a new balancer does not know all targets.
+constexpr Milliseconds LearningPeriod(1500);
+// New flows that wait for the first targets; callers repeat the others. With one packet each they take 1 MB.
+constexpr std::size_t MaximumParked = 4096;
+// Share of a service's latency objective that a request may wait for a slot, in percent; the rest is for its work and
+// the network. A longer queue makes all requests late without serving more of them.
+constexpr std::int64_t AcceptedWaitPercent = 45;
+// The same for a service whose targets also serve a more urgent one: at overload the queue stays short enough for the
+// urgent requests, and the others are refused first.
+constexpr std::int64_t LessUrgentWaitPercent = 25;
+
+} // namespace
+
+FlowOpener::FlowOpener(RelayBalancerContext &context)
+    : context_(context)
+    , placement_(context.settings.randomSeed)
+{
+}
+
+void FlowOpener::open(Timestamp now, const RelayedService &service, const RelayPacket &head, std::string_view packet)
+{
+    OwnedFlow &flow = context_.flows.touch(now, head.flow);
+    const KnownTarget *owner = flow.owner.port == 0 ? nullptr : context_.targets.find(flow.owner);
+    if (owner != nullptr && !owner->silent) {
+        // A copy of an opening packet; the target answers it again.
+        context_.forward(flow.owner, owner->group, ForwardMode::Open, acceptedWait(service), packet);
+        return;
+    }
+    if (flow.parked) {
+        return;
+    }
+    flow.openingPacket = std::string(packet);
+    flow.history = OfferHistory();
+    offerNext(now, flow, "none");
+    if (flow.parked) {
+        context_.output.logDecision("flowWaiting",
+                                    {{"flow", formatFlowTuple(head.flow)},
+                                     {"reason", nameOf(Refusal::NoTarget)},
+                                     {"targets", std::to_string(context_.targets.size())},
+                                     {"startedMsAgo", std::to_string((now - context_.started).count())}});
+    }
+}
+
+void FlowOpener::offerNext(Timestamp now, OwnedFlow &flow, std::string_view lastReturn)
+{
+    const RelayedService *service = context_.table->find(flow.tuple);
+    if (service == nullptr) {
+        // The service was dropped while the flow opened.
+        refuse(now, flow, Refusal::NoTarget, lastReturn);
+        return;
+    }
+    const WeightedGroup &group = service->groupOf(flow.tuple);
+    const std::variant<Offer, Refusal> next =
+        placement_.next(now, context_.targets.ofGroup(group.id), flow.history, acceptedWait(*service));
+    if (const Refusal *refusal = std::get_if<Refusal>(&next)) {
+        refuse(now, flow, *refusal, lastReturn);
+        return;
+    }
+    const Offer &offer = std::get<Offer>(next);
+    ++context_.counters.offers;
+    flow.history.tried.push_back(offer.agent);
+    flow.history.lastOfferMade = offer.last;
+    flow.owner = offer.agent;
+    flow.offered = true;
+    flow.offeredAt = now;
+    flow.basis = offer.basis;
+    offers_.emplace_back(flow.tuple, now);
+    context_.targets.noteOffer(offer.agent);
+    context_.forward(offer.agent, group.id, ForwardMode::Open, offer.acceptedWait, flow.openingPacket);
+}
+
+void FlowOpener::refuse(Timestamp now, OwnedFlow &flow, Refusal refusal, std::string_view lastReturn)
+{
+    const FlowTuple tuple = flow.tuple;
+    const std::optional<RelayPacket> head = context_.format.decode(flow.openingPacket, PacketOrigin::Caller);
+    const bool learning = refusal == Refusal::NoTarget && now - context_.started < LearningPeriod;
+    if (learning && parked_.size() < MaximumParked) {
+        park(flow);
+        return;
+    }
+    ++(learning                           ? context_.counters.droppedNoTarget
+           : refusal == Refusal::NoTarget ? context_.counters.refusedNoTarget
+                                          : context_.counters.refusedOverload);
+    context_.output.logDecision("flowRefused",
+                                {{"flow", formatFlowTuple(tuple)},
+                                 {"reason", nameOf(refusal)},
+                                 {"offers", std::to_string(flow.history.tried.size())},
+                                 {"lastReturn", std::string(lastReturn)},
+                                 {"targets", std::to_string(context_.targets.size())},
+                                 {"table", std::to_string(context_.table->version.value())},
+                                 {"outcome", learning ? "dropped" : "reset"}});
+    context_.flows.erase(tuple);
+    if (head && !learning) {
+        context_.resetCaller(*head);
+    }
+}
+
+void FlowOpener::park(OwnedFlow &flow)
+{
+    flow.owner = PeerAddress();
+    flow.offered = false;
+    flow.history = OfferHistory();
+    if (!std::exchange(flow.parked, true)) {
+        parked_.push_back(flow.tuple);
+    }
+}
+
+void FlowOpener::placeParkedFlows(Timestamp now)
+{
+    for (const FlowTuple &tuple : std::exchange(parked_, {})) {
+        OwnedFlow *flow = context_.flows.find(tuple);
+        if (flow != nullptr && std::exchange(flow->parked, false)) {
+            offerNext(now, *flow, "none");
+        }
+    }
+}
+
+Milliseconds FlowOpener::acceptedWait(const RelayedService &service) const
+{
+    const Milliseconds limit = service.objective > Milliseconds(0) ? service.objective : service.timeout;
+    const bool lessUrgent = context_.table->isLessUrgent(service);
+    return Milliseconds(limit.count() * (lessUrgent ? LessUrgentWaitPercent : AcceptedWaitPercent) / 100);
+}
+
+void FlowOpener::handleReturnedOffer(Timestamp now,
+                                     const PeerAddress &agent,
+                                     const FlowTuple &tuple,
+                                     ReturnReason reason)
+{
+    ++context_.counters.offersReturned;
+    OwnedFlow *flow = context_.flows.find(tuple);
+    if (flow != nullptr && flow->owner == agent && flow->offered) {
+        offerNext(now, *flow, nameOf(reason));
+    }
+}
+
+void FlowOpener::onTick(Timestamp now, Timestamp messagesRead)
+{
+    while (!offers_.empty() && messagesRead - offers_.front().second >= OfferTimeout) {
+        const auto [tuple, offeredAt] = offers_.front();
+        offers_.pop_front();
+        OwnedFlow *flow = context_.flows.find(tuple);
+        if (flow != nullptr && flow->offered && flow->offeredAt == offeredAt) {
+            ++context_.counters.offersUnanswered;
+            context_.targets.noteSilence(flow->owner);
+            offerNext(now, *flow, "unanswered");
+        }
+    }
+    placeParkedFlows(now);
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/relay/relaybalancercontext.cpp
@@ -0,0 +1,53 @@
+#include "relay/relaybalancercontext.h"
+
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+// An agent that sends no report for this long has ended, or its VM is cut off; callers gave up long ago.
+constexpr Milliseconds SilenceOfDead(5000);
+
+} // namespace
+
+RelayBalancerContext::RelayBalancerContext(RelayBalancerSettings balancerSettings,
+                                           Timestamp now,
+                                           const PacketFormat &packetFormat,
+                                           RelayOutput &relayOutput)
+    : settings(std::move(balancerSettings))
+    , format(packetFormat)
+    , output(relayOutput)
+    , peers(settings.self, settings.seeds, relayOutput)
+    , targets(settings.self.availabilityZone)
+    , flows(settings.flowLimit)
+    , pauses(now)
+    , started(now)
+{
+}
+
+void RelayBalancerContext::forward(
+    const PeerAddress &agent, GroupId group, ForwardMode mode, Milliseconds wait, std::string_view packet)
+{
+    wire::relay::Message message;
+    wire::relay::Forward *forward = message.mutable_forward();
+    forward->set_group(group.value());
+    forward->set_mode(static_cast<std::uint32_t>(mode));
+    forward->set_accepted_wait_ms(static_cast<std::uint32_t>(wait.count()));
+    forward->set_packet(packet.data(), packet.size());
+    output.sendToPeer(agent, message);
+}
+
+void RelayBalancerContext::resetCaller(const RelayPacket &head)
+{
+    output.sendToCaller(head.flow.callerAddress, format.makeReset(head));
+}
+
+bool RelayBalancerContext::isSilent(Timestamp now, const KnownTarget &target) const
+{
+    return pauses.silence(now, target.heard) >= SilenceOfDead;
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/relay/relaybalancercontext.h
@@ -0,0 +1,82 @@
+#ifndef RHUBARBLANE_RELAY_RELAYBALANCERCONTEXT_H
+#define RHUBARBLANE_RELAY_RELAYBALANCERCONTEXT_H
+
+#include "base/clock.h"
+#include "relay/balancerpeers.h"
+#include "relay/ownedflow.h"
+#include "relay/packetformat.h"
+#include "relay/pausedetector.h"
+#include "relay/recentflows.h"
+#include "relay/relayoutput.h"
+#include "relay/servicetable.h"
+#include "relay/targetdirectory.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace rhubarblane
+{
+
+struct RelayBalancerSettings {
+    Peer self;
+    /** Where peers may be reached that the store does not name yet. */
+    std::vector<PeerAddress> seeds;
+    /** Flows whose owner is remembered. */
+    std::size_t flowLimit = 200000;
+    std::uint64_t randomSeed = 1;
+};
+
+struct RelayBalancerCounters {
+    std::uint64_t packetsIn = 0;
+    std::uint64_t malformed = 0;
+    std::uint64_t forwarded = 0;
+    std::uint64_t searches = 0;
+    std::uint64_t offers = 0;
+    std::uint64_t offersReturned = 0;
+    std::uint64_t offersUnanswered = 0;
+    std::uint64_t flowsOpened = 0;
+    std::uint64_t refusedUnknownService = 0;
+    std::uint64_t refusedNoTarget = 0;
+    std::uint64_t refusedOverload = 0;
+    std::uint64_t droppedNoTable = 0;
+    std::uint64_t droppedNoTarget = 0;
+    std::uint64_t droppedNoFlow = 0;
+    std::uint64_t flowsLost = 0;
+    std::uint64_t tablesFromPeers = 0;
+};
+
+/** What the parts of a relaying balancer share: its tables, its peers and its output. */
+struct RelayBalancerContext {
+    /** `packetFormat` and `relayOutput` must outlive the context. */
+    RelayBalancerContext(RelayBalancerSettings balancerSettings,
+                         Timestamp now,
+                         const PacketFormat &packetFormat,
+                         RelayOutput &relayOutput);
+
+    /** Sends a caller's packet to an agent. `wait` is how long a new flow may wait there for a slot. */
+    void forward(const PeerAddress &agent, GroupId group, ForwardMode mode, Milliseconds wait, std::string_view packet);
+
+    /** Answers a caller's packet with a reset. */
+    void resetCaller(const RelayPacket &head);
+
+    /** Whether the target's agent must have ended, or its VM is cut off. */
+    bool isSilent(Timestamp now, const KnownTarget &target) const;
+
+    RelayBalancerSettings settings;
+    const PacketFormat &format;
+    RelayOutput &output;
+    BalancerPeers peers;
+    TargetDirectory targets;
+    RecentFlows<OwnedFlow> flows;
+    PauseDetector pauses;
+    std::optional<ServiceTable> table;
+    RelayBalancerCounters counters;
+    Timestamp started;
+};
+
+} // namespace rhubarblane
+
+#endif
