Split the relaying agent by concern

RelayAgent keeps the messages, the presence of flows and the target's state; TargetFlows has the flows and the requests in them, AgentPeers the balancers and when they get reports, as BalancerPeers does for balancers.

--- /dev/null
+++ b/src/relay/agentpeers.cpp
@@ -0,0 +1,113 @@
+#include "relay/agentpeers.h"
+
+#include "relay/reportinterval.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+// With more balancers the interval of reports grows so that an agent sends at most this many a second: at 61 agents, a
+// balancer with 0.028 of a core spends a tenth of it on reports.
+constexpr std::int64_t ReportsPerSecond = 40;
+// As often as a lost first contact should delay a start without the store.
+constexpr Milliseconds SeedContactInterval(1000);
+
+} // namespace
+
+AgentPeers::AgentPeers(Peer self, std::vector<PeerAddress> seeds, RelayOutput &output)
+    : book_(std::move(self))
+    , seeds_(std::move(seeds))
+    , output_(output)
+{
+}
+
+void AgentPeers::hear(Timestamp now, const Peer &balancer)
+{
+    if (book_.find(balancer.id()) == nullptr) {
+        output_.logDecision("peerFound", {{"peer", balancer.name}, {"from", "hello"}});
+        requestReport(now);
+    }
+    book_.hear(now, balancer);
+}
+
+void AgentPeers::name(Timestamp now, const Peer &peer)
+{
+    if (peer.role == PeerRole::Balancer) {
+        book_.name(now, peer);
+    }
+}
+
+void AgentPeers::nameFromStore(Timestamp now, const Peer &peer)
+{
+    if (peer.role != PeerRole::Balancer) {
+        return;
+    }
+    if (book_.name(now, peer)) {
+        output_.logDecision("peerFound", {{"peer", peer.name}, {"from", "store"}});
+        requestReport(now);
+    }
+}
+
+void AgentPeers::remove(const Peer &peer)
+{
+    book_.remove(peer.id());
+}
+
+void AgentPeers::sendReport(Timestamp now, wire::relay::Report report)
+{
+    const std::vector<const PeerBook::Entry *> balancers = book_.withRole(PeerRole::Balancer);
+    const Milliseconds spread(static_cast<std::int64_t>(balancers.size()) * 1000 / ReportsPerSecond);
+    const Milliseconds interval = std::clamp(spread, ShortestReportInterval, LongestReportInterval);
+    report.set_interval_ms(static_cast<std::uint32_t>(interval.count()));
+    wire::relay::Message message;
+    *message.mutable_report() = std::move(report);
+    for (const PeerBook::Entry *balancer : balancers) {
+        output_.sendToPeer(balancer->peer.address, message);
+    }
+    contactSeeds(now, message);
+    nextReport_ = now + interval;
+}
+
+void AgentPeers::contactSeeds(Timestamp now, const wire::relay::Message &report)
+{
+    if (now < nextSeedContact_) {
+        return;
+    }
+    // Seeds may be stale, so they are asked as long as the agent runs, but rarely.
+    nextSeedContact_ = now + SeedContactInterval;
+    const std::vector<const PeerBook::Entry *> balancers = book_.withRole(PeerRole::Balancer);
+    for (const PeerAddress &seed : seeds_) {
+        const bool known = std::any_of(balancers.begin(), balancers.end(), [&seed](const PeerBook::Entry *entry) {
+            return entry->peer.address == seed;
+        });
+        if (!known) {
+            output_.sendToPeer(seed, report);
+        }
+    }
+}
+
+void AgentPeers::announceEnd(bool targetEnded)
+{
+    wire::relay::Message message;
+    wire::relay::Hello *hello = message.mutable_hello();
+    *hello->mutable_sender() = toWire(book_.self());
+    hello->set_leaving(true);
+    hello->set_target_ended(targetEnded);
+    for (const PeerBook::Entry *balancer : book_.withRole(PeerRole::Balancer)) {
+        output_.sendToPeer(balancer->peer.address, message);
+    }
+}
+
+void AgentPeers::expire(Timestamp now)
+{
+    for (const Peer &peer : book_.expire(now)) {
+        output_.logDecision("peerForgotten", {{"peer", peer.name}});
+    }
+}
+
+} // namespace rhubarblane
--- /dev/null
+++ b/src/relay/agentpeers.h
@@ -0,0 +1,69 @@
+#ifndef RHUBARBLANE_RELAY_AGENTPEERS_H
+#define RHUBARBLANE_RELAY_AGENTPEERS_H
+
+#include "base/clock.h"
+#include "relay/peerbook.h"
+#include "relay/relayoutput.h"
+#include "wire/generated/relay.pb.h"
+
+#include <vector>
+
+namespace rhubarblane
+{
+
+/** The balancers that an agent knows, and when they get its reports. */
+class AgentPeers
+{
+public:
+    /** `output` must outlive the object. */
+    AgentPeers(Peer self, std::vector<PeerAddress> seeds, RelayOutput &output);
+
+    const PeerBook &book() const
+    {
+        return book_;
+    }
+
+    /** A message of the balancer itself arrived. */
+    void hear(Timestamp now, const Peer &balancer);
+
+    /** Another balancer names the peer. Agents are ignored. */
+    void name(Timestamp now, const Peer &peer);
+
+    /** The store names the peer. Agents are ignored. */
+    void nameFromStore(Timestamp now, const Peer &peer);
+
+    void remove(const Peer &peer);
+
+    /** The next report is due at once. */
+    void requestReport(Timestamp now)
+    {
+        nextReport_ = now;
+    }
+
+    bool isReportDue(Timestamp now) const
+    {
+        return now >= nextReport_;
+    }
+
+    /** Sends a report to all balancers, and now and then to seeds that are not known as balancers. */
+    void sendReport(Timestamp now, wire::relay::Report report);
+
+    /** Tells the balancers that the agent ends now, and whether its target has ended. */
+    void announceEnd(bool targetEnded);
+
+    /** Forgets old peers. */
+    void expire(Timestamp now);
+
+private:
+    void contactSeeds(Timestamp now, const wire::relay::Message &report);
+
+    PeerBook book_;
+    std::vector<PeerAddress> seeds_;
+    RelayOutput &output_;
+    Timestamp nextReport_;
+    Timestamp nextSeedContact_;
+};
+
+} // namespace rhubarblane
+
+#endif
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -1,7 +1,7 @@
 #include "relay/relayagent.h"
 
+#include "relay/flowretention.h"
 #include "relay/relayflow.h"
-#include "relay/reportinterval.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,19 +12,6 @@
 namespace
 {
 
-// With more balancers the interval of reports grows so that an agent sends at most this many a second: at 61 agents, a
-// balancer with 0.028 of a core spends a tenth of it on reports.
-constexpr std::int64_t ReportsPerSecond = 40;
-// As often as a lost first contact should delay a start without the store.
-constexpr Milliseconds SeedContactInterval(1000);
-// The caller's request follows its SYN by one way to the caller and back, 6 ms in the reference deployments.
-constexpr Milliseconds OpeningPeriod(30);
-// No flow is older than 60 s and still worth keeping (the platform's bound on flows), nor idle for longer.
-constexpr Milliseconds FlowRetention(60000);
-// Copies of the last packets of a closed flow arrive within the longest retransmission interval, 1.6 s.
-constexpr Milliseconds ClosedRetention(3000);
-// A caller gives up after at most 6 s in the reference workloads; a request without an answer for longer is over.
-constexpr Milliseconds RequestRetention(6000);
 // Balancers learn of the stop by one report; packets on their way arrive within a round trip.
 constexpr Milliseconds ShortestLeave(300);
 // Half of the 6 s after which the platform kills a process that was told to stop.
@@ -38,11 +25,6 @@
 constexpr std::uint32_t ModeMask = (1U << ModeBits) - 1;
 constexpr std::size_t MaximumTaggedBalancers = 1U << 20;
 
-bool isNewer(std::uint32_t sequence, std::uint32_t than)
-{
-    return static_cast<std::int32_t>(sequence - than) > 0;
-}
-
 std::uint32_t valueOf(ForwardMode mode)
 {
     return static_cast<std::uint32_t>(mode);
@@ -54,8 +36,9 @@
     : settings_(std::move(settings))
     , format_(format)
     , output_(output)
-    , peers_(settings_.self)
+    , peers_(settings_.self, settings_.seeds, output)
     , target_(settings_.reportInterval, now)
+    , flows_(counters_)
     , group_(groupIdOf(settings_.group))
     , uncertainSince_(now)
 {
@@ -83,19 +66,12 @@
         return;
     }
     if (hello.leaving()) {
-        peers_.remove(sender.id());
+        peers_.remove(sender);
         return;
     }
-    if (peers_.find(sender.id()) == nullptr) {
-        output_.logDecision("peerFound", {{"peer", sender.name}, {"from", "hello"}});
-        nextReport_ = now;
-    }
     peers_.hear(now, sender);
-    for (const wire::relay::Peer &encoded : hello.peers()) {
-        const Peer peer = fromWire(encoded);
-        if (peer.role == PeerRole::Balancer) {
-            peers_.name(now, peer);
-        }
+    for (const wire::relay::Peer &peer : hello.peers()) {
+        peers_.name(now, fromWire(peer));
     }
 }
 
@@ -200,15 +176,15 @@
         returnPacket(now, from, ReturnReason::NotReady, forward.packet());
         return;
     }
-    const std::uint32_t opening = openingFlows(now);
-    const Milliseconds wait = meter_.expectedWait(opening);
-    const bool queueFull = meter_.busy() + opening >= meter_.slots() + QueueLimit;
+    const std::uint32_t opening = flows_.expectedRequests(now);
+    const Milliseconds wait = flows_.meter().expectedWait(opening);
+    const bool queueFull = flows_.meter().busy() + opening >= flows_.meter().slots() + QueueLimit;
     if (queueFull || wait > Milliseconds(forward.accepted_wait_ms())) {
         ++counters_.returnedBusy;
         returnPacket(now, from, ReturnReason::Busy, forward.packet());
         return;
     }
-    opening_.emplace_back(head.flow, now);
+    flows_.expectRequest(now, head.flow);
     target_.askedToOpen(now);
     deliver(now, from, forward.packet(), head, valueOf(ForwardMode::Open));
 }
@@ -225,38 +201,13 @@
             flow.targetStart = target_.starts();
         }
         if (!flow.probed) {
-            noteCallerPacket(now, flow, head);
+            flows_.noteCallerPacket(now, flow, head);
         }
     }
     format_.mark(packet, tagFor(from, mode));
     output_.sendToTarget(std::move(packet));
 }
 
-void RelayAgent::noteCallerPacket(Timestamp now, AgentFlow &flow, const RelayPacket &head)
-{
-    flow.callerClosed = flow.callerClosed || head.closing || head.reset;
-    if (head.reset) {
-        flow.targetClosed = true;
-        endRequest(now, flow, false);
-        return;
-    }
-    if (head.payloadBytes == 0) {
-        return;
-    }
-    const std::uint32_t end = head.sequence + head.payloadBytes;
-    if (flow.sentRequest && !isNewer(end, flow.callerSequence)) {
-        return; // A repeated packet of a request that is known.
-    }
-    flow.callerSequence = end;
-    flow.sentRequest = true;
-    if (!flow.requestPending) {
-        flow.requestPending = true;
-        flow.requestInSlot = meter_.start(now);
-    }
-    // A request starts its work when its last byte has arrived.
-    flow.requestStarted = now;
-}
-
 void RelayAgent::onTargetPacket(Timestamp now, std::string_view packet)
 {
     target_.advance(now);
@@ -280,7 +231,7 @@
     AgentFlow *flow = flows_.find(head.flow);
     const bool ended = flow != nullptr && flow->closed();
     if (flow != nullptr && !ended) {
-        forget(now, head.flow);
+        flows_.forget(now, head.flow);
     }
     if (ended || head.reset) {
         return;
@@ -311,7 +262,7 @@
         if (known != nullptr && known->balancer.port != 0) {
             answerFlow(now, known->balancer, head.flow, FlowPresence::Absent);
         }
-        forget(now, head.flow);
+        flows_.forget(now, head.flow);
         return;
     }
     ++counters_.packetsOut;
@@ -327,46 +278,10 @@
             answerFlow(now, flow.balancer, head.flow, probed ? FlowPresence::Held : FlowPresence::Opened);
         }
     }
-    if (head.acknowledging && (!flow.sentRequest || isNewer(head.acknowledgement, flow.callerSequence))) {
-        // The agent may have started after the caller sent these bytes; later copies of them are no new request.
-        flow.callerSequence = head.acknowledgement;
-        flow.sentRequest = flow.sentRequest || !head.opening;
-    }
-    flow.targetClosed = flow.targetClosed || head.closing || head.reset;
-    if (head.payloadBytes > 0 || head.reset || head.closing) {
-        // The end of a flow can overtake the answer's last bytes.
-        endRequest(now, flow, !head.reset);
-    }
-    if (head.reset) {
-        flow.callerClosed = true;
-    }
+    flows_.noteTargetPacket(now, flow, head);
     output_.sendToCaller(head.flow.callerAddress, std::move(packet));
 }
 
-void RelayAgent::endRequest(Timestamp now, AgentFlow &flow, bool answered)
-{
-    if (!flow.requestPending) {
-        return;
-    }
-    flow.requestPending = false;
-    if (answered) {
-        ++counters_.requestsFinished;
-        requestTimes_.add(now - flow.requestStarted);
-        meter_.finish(now, flow.requestStarted, flow.requestInSlot);
-    } else {
-        ++counters_.requestsAbandoned;
-        meter_.abandon(now);
-    }
-}
-
-void RelayAgent::forget(Timestamp now, const FlowTuple &tuple)
-{
-    if (AgentFlow *flow = flows_.find(tuple)) {
-        endRequest(now, *flow, false);
-        flows_.erase(tuple);
-    }
-}
-
 void RelayAgent::giveUp(Timestamp now, const FlowTuple &tuple)
 {
     const AgentFlow *flow = flows_.find(tuple);
@@ -374,7 +289,7 @@
         // The target is silent. If it goes on, it still holds the flow.
         uncertainSince_ = now;
     }
-    forget(now, tuple);
+    flows_.forget(now, tuple);
 }
 
 void RelayAgent::returnPacket(Timestamp now, const PeerAddress &to, ReturnReason reason, std::string packet)
@@ -407,18 +322,14 @@
                             {{"target", report.target}, {"sequence", std::to_string(report.sequence)}});
         return;
     }
-    meter_.setSlots(report.slots);
+    flows_.setSlots(report.slots);
     if (change == TargetStatus::Change::NewStart) {
         if (target_.starts() > 1 || report.sequence <= FirstReports) {
             uncertainSince_.reset();
         }
-        meter_.clear(now);
         // A target that reported before this agent started still holds the flows of which it sent packets.
         const bool heldBefore = target_.starts() == 1 && report.sequence > FirstReports;
-        flows_.forEach([&](AgentFlow &flow) {
-            flow.requestPending = false;
-            flow.targetStart = heldBefore ? target_.starts() : flow.targetStart;
-        });
+        flows_.startAnew(now, target_.starts(), heldBefore);
     }
     if (change != TargetStatus::Change::None) {
         output_.logDecision("targetState",
@@ -426,7 +337,7 @@
                              {"state", nameOf(state(now))},
                              {"started", std::to_string(report.started)},
                              {"sequence", std::to_string(report.sequence)}});
-        nextReport_ = now;
+        peers_.requestReport(now);
     }
 }
 
@@ -434,20 +345,13 @@
 {
     const bool current = target_.leave(target);
     output_.logDecision("targetLeft", {{"target", target}, {"outcome", current ? "gone" : "ignored"}});
-    nextReport_ = now;
+    peers_.requestReport(now);
 }
 
 void RelayAgent::onPeersNamed(Timestamp now, const std::vector<Peer> &peers)
 {
     for (const Peer &peer : peers) {
-        if (peer.role != PeerRole::Balancer) {
-            continue;
-        }
-        if (peers_.find(peer.id()) == nullptr && peer.name != settings_.self.name) {
-            output_.logDecision("peerFound", {{"peer", peer.name}, {"from", "store"}});
-            nextReport_ = now;
-        }
-        peers_.name(now, peer);
+        peers_.nameFromStore(now, peer);
     }
 }
 
@@ -462,90 +366,39 @@
              {"state", nameOf(current)},
              {"reportAgeMs", std::to_string(target_.reportAge(now).value_or(Milliseconds(-1)).count())}});
         reportedState_ = current;
-        nextReport_ = now;
+        peers_.requestReport(now);
     }
-    if (now >= nextReport_) {
-        sendReports(now);
+    if (peers_.isReportDue(now)) {
+        sendReport(now);
     }
     if (now >= nextSweep_) {
         nextSweep_ = now + SweepInterval;
-        sweepFlows(now);
-    }
-    for (const Peer &peer : peers_.expire(now)) {
-        output_.logDecision("peerForgotten", {{"peer", peer.name}});
-    }
-}
-
-void RelayAgent::sweepFlows(Timestamp now)
-{
-    flows_.expire(now, FlowRetention, [this, now](AgentFlow &flow) { endRequest(now, flow, false); });
-    std::vector<FlowTuple> ended;
-    flows_.forEach([&](AgentFlow &flow) {
-        if (flow.requestPending && now - flow.lastActive > RequestRetention) {
-            endRequest(now, flow, false);
-        }
-        if (flow.closed() && now - flow.lastActive > ClosedRetention) {
-            ended.push_back(flow.tuple);
-        }
-    });
-    for (const FlowTuple &tuple : ended) {
-        flows_.erase(tuple);
+        flows_.sweep(now);
     }
+    peers_.expire(now);
 }
 
-void RelayAgent::sendReports(Timestamp now)
+void RelayAgent::sendReport(Timestamp now)
 {
-    wire::relay::Message message;
-    wire::relay::Report *report = message.mutable_report();
-    *report->mutable_agent() = toWire(settings_.self);
-    report->set_group(settings_.group);
-    fillLoad(now, *report->mutable_load());
-    const std::vector<const PeerBook::Entry *> balancers = peers_.withRole(PeerRole::Balancer);
-    const Milliseconds spread(static_cast<std::int64_t>(balancers.size()) * 1000 / ReportsPerSecond);
-    const Milliseconds interval = std::clamp(spread, ShortestReportInterval, LongestReportInterval);
-    report->set_interval_ms(static_cast<std::uint32_t>(interval.count()));
-    for (const PeerBook::Entry *balancer : balancers) {
-        output_.sendToPeer(balancer->peer.address, message);
-    }
-    if (now >= nextSeedContact_) {
-        // Seeds may be stale, so they are asked as long as the agent runs, but rarely.
-        nextSeedContact_ = now + SeedContactInterval;
-        for (const PeerAddress &seed : settings_.seeds) {
-            const bool known = std::any_of(balancers.begin(), balancers.end(), [&](const PeerBook::Entry *entry) {
-                return entry->peer.address == seed;
-            });
-            if (!known) {
-                output_.sendToPeer(seed, message);
-            }
-        }
-    }
-    nextReport_ = now + interval;
+    wire::relay::Report report;
+    *report.mutable_agent() = toWire(settings_.self);
+    report.set_group(settings_.group);
+    fillLoad(now, *report.mutable_load());
+    peers_.sendReport(now, std::move(report));
 }
 
 void RelayAgent::fillLoad(Timestamp now, wire::relay::Load &load)
 {
     load.set_sequence(++loadSequence_);
-    load.set_slots(meter_.slots());
-    load.set_busy(meter_.busy());
-    load.set_opening(openingFlows(now));
+    load.set_slots(flows_.meter().slots());
+    load.set_busy(flows_.meter().busy());
+    load.set_opening(flows_.expectedRequests(now));
     load.set_open_flows(static_cast<std::uint32_t>(flows_.size()));
-    load.set_service_time_us(static_cast<std::uint32_t>(meter_.serviceTimeMs() * 1000.0));
-    load.set_utilization(static_cast<std::uint32_t>(meter_.utilization(now) * 1000.0));
+    load.set_service_time_us(static_cast<std::uint32_t>(flows_.meter().serviceTimeMs() * 1000.0));
+    load.set_utilization(static_cast<std::uint32_t>(flows_.meter().utilization(now) * 1000.0));
     load.set_state(static_cast<std::uint32_t>(state(now)));
 }
 
-std::uint32_t RelayAgent::openingFlows(Timestamp now)
-{
-    opening_.erase(std::remove_if(opening_.begin(),
-                                  opening_.end(),
-                                  [&](const std::pair<FlowTuple, Timestamp> &entry) {
-                                      const AgentFlow *flow = flows_.find(entry.first);
-                                      return flow == nullptr || flow->sentRequest || now - entry.second > OpeningPeriod;
-                                  }),
-                   opening_.end());
-    return static_cast<std::uint32_t>(opening_.size());
-}
-
 bool RelayAgent::isTargetGone(Timestamp now) const
 {
     // Not state(): an agent that leaves still knows whether its target has ended.
@@ -578,21 +431,14 @@
 {
     if (!leaving_) {
         leaving_ = now;
-        nextReport_ = now;
-        output_.logDecision("agentLeaving", {{"busy", std::to_string(meter_.busy())}});
+        peers_.requestReport(now);
+        output_.logDecision("agentLeaving", {{"busy", std::to_string(flows_.meter().busy())}});
     }
 }
 
 void RelayAgent::finishLeave(Timestamp now)
 {
-    wire::relay::Message message;
-    wire::relay::Hello *hello = message.mutable_hello();
-    *hello->mutable_sender() = toWire(settings_.self);
-    hello->set_leaving(true);
-    hello->set_target_ended(isTargetGone(now));
-    for (const PeerBook::Entry *balancer : peers_.withRole(PeerRole::Balancer)) {
-        output_.sendToPeer(balancer->peer.address, message);
-    }
+    peers_.announceEnd(isTargetGone(now));
 }
 
 bool RelayAgent::mayExit(Timestamp now) const
@@ -601,7 +447,7 @@
         return false;
     }
     const Milliseconds waited = now - *leaving_;
-    return waited >= LongestLeave || (waited >= ShortestLeave && meter_.busy() == 0);
+    return waited >= LongestLeave || (waited >= ShortestLeave && flows_.meter().busy() == 0);
 }
 
 TargetState RelayAgent::state(Timestamp now) const
--- a/src/relay/relayagent.h
+++ b/src/relay/relayagent.h
@@ -2,12 +2,11 @@
 #define RHUBARBLANE_RELAY_RELAYAGENT_H
 
 #include "base/clock.h"
-#include "base/latencyhistogram.h"
-#include "relay/agentflow.h"
+#include "relay/agentpeers.h"
 #include "relay/packetformat.h"
-#include "relay/peerbook.h"
+#include "relay/relayagentcounters.h"
 #include "relay/relayoutput.h"
-#include "relay/requestmeter.h"
+#include "relay/targetflows.h"
 #include "relay/targetstatus.h"
 
 #include <cstdint>
@@ -27,24 +26,6 @@
     std::vector<PeerAddress> seeds;
 };
 
-struct RelayAgentCounters {
-    std::uint64_t packetsIn = 0; ///< Packets of callers for the target.
-    std::uint64_t packetsOut = 0; ///< Packets of the target for callers.
-    std::uint64_t malformed = 0;
-    std::uint64_t flowsOpened = 0;
-    std::uint64_t returnedBusy = 0;
-    std::uint64_t returnedFull = 0;
-    std::uint64_t returnedNotReady = 0;
-    std::uint64_t returnedNotHeld = 0;
-    std::uint64_t returnedWrongGroup = 0;
-    std::uint64_t searchesDelivered = 0;
-    std::uint64_t searchesAbsent = 0;
-    std::uint64_t resetsDropped = 0; ///< Resets of the target for flows that it does not hold.
-    std::uint64_t requestsFinished = 0;
-    std::uint64_t requestsAbandoned = 0;
-    std::uint64_t reportsOutdated = 0;
-};
-
 /**
  * The decisions of the process beside one target that returns packets of flows it does not hold. It takes or returns
  * new flows, knows the requests in flight, and tells the balancers. No sockets, threads or clock.
@@ -87,21 +68,21 @@
     }
     const RequestMeter &meter() const
     {
-        return meter_;
+        return flows_.meter();
     }
     /** Time from the last byte of a request to the first of its answer. */
     const LatencyHistogram &requestTimes() const
     {
-        return requestTimes_;
-    }
-    const PeerBook &peers() const
-    {
-        return peers_;
+        return flows_.requestTimes();
     }
     std::size_t openFlows() const
     {
         return flows_.size();
     }
+    const PeerBook &peers() const
+    {
+        return peers_.book();
+    }
 
 private:
     void handleForward(Timestamp now, const PeerAddress &from, const wire::relay::Forward &forward);
@@ -115,19 +96,14 @@
     void handleAnswer(Timestamp now, std::string packet, const RelayPacket &head);
     void
     deliver(Timestamp now, const PeerAddress &from, std::string packet, const RelayPacket &head, std::uint32_t mode);
-    void noteCallerPacket(Timestamp now, AgentFlow &flow, const RelayPacket &head);
-    void endRequest(Timestamp now, AgentFlow &flow, bool answered);
-    void forget(Timestamp now, const FlowTuple &tuple);
     /** Forgets a flow whose target seems to have ended. */
     void giveUp(Timestamp now, const FlowTuple &tuple);
     void returnPacket(Timestamp now, const PeerAddress &to, ReturnReason reason, std::string packet);
     void answerFlow(Timestamp now, const PeerAddress &balancer, const FlowTuple &tuple, FlowPresence presence);
     void
     handleSearch(Timestamp now, const PeerAddress &from, const wire::relay::Forward &forward, const RelayPacket &head);
-    void sweepFlows(Timestamp now);
-    void sendReports(Timestamp now);
+    void sendReport(Timestamp now);
     void fillLoad(Timestamp now, wire::relay::Load &load);
-    std::uint32_t openingFlows(Timestamp now);
     /** Whether the target has ended since the flow opened. */
     bool isOfEndedTarget(Timestamp now, const AgentFlow &flow) const;
     /** Whether the target can hold a flow that the agent has no record of. */
@@ -137,15 +113,11 @@
     RelayAgentSettings settings_;
     const PacketFormat &format_;
     RelayOutput &output_;
-    PeerBook peers_;
+    AgentPeers peers_;
     TargetStatus target_;
-    RequestMeter meter_;
-    RecentFlows<AgentFlow> flows_;
     RelayAgentCounters counters_;
-    LatencyHistogram requestTimes_;
+    TargetFlows flows_;
     GroupId group_;
-    Timestamp nextReport_;
-    Timestamp nextSeedContact_;
     Timestamp nextSweep_;
     std::uint64_t loadSequence_ = 0;
     TargetState reportedState_ = TargetState::Unknown;
@@ -153,7 +125,6 @@
     std::optional<Timestamp> uncertainSince_;
     std::optional<Timestamp> leaving_;
     std::vector<PeerAddress> taggedBalancers_;
-    std::vector<std::pair<FlowTuple, Timestamp>> opening_;
 };
 
 } // namespace rhubarblane
--- /dev/null
+++ b/src/relay/relayagentcounters.h
@@ -0,0 +1,29 @@
+#ifndef RHUBARBLANE_RELAY_RELAYAGENTCOUNTERS_H
+#define RHUBARBLANE_RELAY_RELAYAGENTCOUNTERS_H
+
+#include <cstdint>
+
+namespace rhubarblane
+{
+
+struct RelayAgentCounters {
+    std::uint64_t packetsIn = 0; ///< Packets of callers for the target.
+    std::uint64_t packetsOut = 0; ///< Packets of the target for callers.
+    std::uint64_t malformed = 0;
+    std::uint64_t flowsOpened = 0;
+    std::uint64_t returnedBusy = 0;
+    std::uint64_t returnedFull = 0;
+    std::uint64_t returnedNotReady = 0;
+    std::uint64_t returnedNotHeld = 0;
+    std::uint64_t returnedWrongGroup = 0;
+    std::uint64_t searchesDelivered = 0;
+    std::uint64_t searchesAbsent = 0;
+    std::uint64_t resetsDropped = 0; ///< Resets of the target for flows that it does not hold.
+    std::uint64_t requestsFinished = 0;
+    std::uint64_t requestsAbandoned = 0; ///< Ended without an answer.
+    std::uint64_t reportsOutdated = 0;
+};
+
+} // namespace rhubarblane
+
+#endif
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -13,7 +13,7 @@
 {
 
 // Longer than the idle limit of flows in the reference deployments, 15 s; a forgotten owner is searched for again.
-constexpr Milliseconds FlowRetention(20000);
+constexpr Milliseconds OwnerRetention(20000);
 constexpr Milliseconds SweepInterval(1000);
 // One request for each round trip is enough even when several peers announce a newer table.
 constexpr Milliseconds TableRequestInterval(100);
@@ -285,7 +285,7 @@
         return;
     }
     nextSweep_ = now + SweepInterval;
-    context_.flows.expire(now, FlowRetention, [](const OwnedFlow &) {});
+    context_.flows.expire(now, OwnerRetention, [](const OwnedFlow &) {});
     finder_.expire(now);
     context_.peers.sweep(now);
     for (const Peer &agent : context_.targets.expire(now)) {
--- /dev/null
+++ b/src/relay/targetflows.cpp
@@ -0,0 +1,134 @@
+#include "relay/targetflows.h"
+
+#include "relay/flowretention.h"
+
+#include <algorithm>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+// The caller's request follows its SYN by one way to the caller and back, 6 ms in the reference deployments.
+constexpr Milliseconds OpeningPeriod(30);
+// Copies of the last packets of a closed flow arrive within the longest retransmission interval, 1.6 s.
+constexpr Milliseconds ClosedRetention(3000);
+// A caller gives up after at most 6 s in the reference workloads; a request without an answer for longer is over.
+constexpr Milliseconds RequestRetention(6000);
+
+bool isNewer(std::uint32_t sequence, std::uint32_t than)
+{
+    return static_cast<std::int32_t>(sequence - than) > 0;
+}
+
+} // namespace
+
+TargetFlows::TargetFlows(RelayAgentCounters &counters)
+    : counters_(counters)
+{
+}
+
+void TargetFlows::noteCallerPacket(Timestamp now, AgentFlow &flow, const RelayPacket &head)
+{
+    flow.callerClosed = flow.callerClosed || head.closing || head.reset;
+    if (head.reset) {
+        flow.targetClosed = true;
+        endRequest(now, flow, false);
+        return;
+    }
+    if (head.payloadBytes == 0) {
+        return;
+    }
+    const std::uint32_t end = head.sequence + head.payloadBytes;
+    if (flow.sentRequest && !isNewer(end, flow.callerSequence)) {
+        return; // A repeated packet of a request that is known.
+    }
+    flow.callerSequence = end;
+    flow.sentRequest = true;
+    if (!flow.requestPending) {
+        flow.requestPending = true;
+        flow.requestInSlot = meter_.start(now);
+    }
+    // A request starts its work when its last byte has arrived.
+    flow.requestStarted = now;
+}
+
+void TargetFlows::noteTargetPacket(Timestamp now, AgentFlow &flow, const RelayPacket &head)
+{
+    if (head.acknowledging && (!flow.sentRequest || isNewer(head.acknowledgement, flow.callerSequence))) {
+        // The agent may have started after the caller sent these bytes; later copies of them are no new request.
+        flow.callerSequence = head.acknowledgement;
+        flow.sentRequest = flow.sentRequest || !head.opening;
+    }
+    flow.targetClosed = flow.targetClosed || head.closing || head.reset;
+    if (head.payloadBytes > 0 || head.reset || head.closing) {
+        // The end of a flow can overtake the answer's last bytes.
+        endRequest(now, flow, !head.reset);
+    }
+    if (head.reset) {
+        flow.callerClosed = true;
+    }
+}
+
+void TargetFlows::forget(Timestamp now, const FlowTuple &tuple)
+{
+    if (AgentFlow *flow = flows_.find(tuple)) {
+        endRequest(now, *flow, false);
+        flows_.erase(tuple);
+    }
+}
+
+void TargetFlows::startAnew(Timestamp now, std::uint64_t start, bool heldBefore)
+{
+    meter_.clear(now);
+    flows_.forEach([start, heldBefore](AgentFlow &flow) {
+        flow.requestPending = false;
+        flow.targetStart = heldBefore ? start : flow.targetStart;
+    });
+}
+
+std::uint32_t TargetFlows::expectedRequests(Timestamp now)
+{
+    const auto hasComeOrIsLost = [this, now](const std::pair<FlowTuple, Timestamp> &entry) {
+        const AgentFlow *flow = flows_.find(entry.first);
+        return flow == nullptr || flow->sentRequest || now - entry.second > OpeningPeriod;
+    };
+    opening_.erase(std::remove_if(opening_.begin(), opening_.end(), hasComeOrIsLost), opening_.end());
+    return static_cast<std::uint32_t>(opening_.size());
+}
+
+void TargetFlows::sweep(Timestamp now)
+{
+    flows_.expire(now, FlowRetention, [this, now](AgentFlow &flow) { endRequest(now, flow, false); });
+    std::vector<FlowTuple> ended;
+    flows_.forEach([&](AgentFlow &flow) {
+        if (flow.requestPending && now - flow.lastActive > RequestRetention) {
+            endRequest(now, flow, false);
+        }
+        if (flow.closed() && now - flow.lastActive > ClosedRetention) {
+            ended.push_back(flow.tuple);
+        }
+    });
+    for (const FlowTuple &tuple : ended) {
+        flows_.erase(tuple);
+    }
+}
+
+void TargetFlows::endRequest(Timestamp now, AgentFlow &flow, bool answered)
+{
+    if (!flow.requestPending) {
+        return;
+    }
+    flow.requestPending = false;
+    if (answered) {
+        ++counters_.requestsFinished;
+        requestTimes_.add(now - flow.requestStarted);
+        meter_.finish(now, flow.requestStarted, flow.requestInSlot);
+    } else {
+        ++counters_.requestsAbandoned;
+        meter_.abandon(now);
+    }
+}
+
+} // namespace rhubarblane
