Let an agent that never had a report say that its target has ended

Cause: targets that had ended during a loss of power left agents without any report. When these were removed, they did not say that their targets had ended, and searches waited for their answers until they had been silent for 5 s.

Change: an agent that leaves 1.25 report intervals after its start without any report says that its target has ended; resets of unknown flows are no sign of a running target. Both tests failed before.

--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -216,7 +216,9 @@
         ++counters_.malformed;
         return;
     }
-    target_.answered(now);
+    if (!isResetOfUnknownFlow(*head)) {
+        target_.answered(now);
+    }
     if (head->returned) {
         handleReturned(now, std::string(packet), *head);
     } else {
@@ -254,9 +256,9 @@
 
 void RelayAgent::handleAnswer(Timestamp now, std::string packet, const RelayPacket &head)
 {
-    const AgentFlow *known = flows_.find(head.flow);
-    if (head.reset && (known == nullptr || known->probed)) {
-        // A target that does not listen resets what reaches it; the flow may be open at another target.
+    if (isResetOfUnknownFlow(head)) {
+        // The flow may be open at another target.
+        const AgentFlow *known = flows_.find(head.flow);
         ++counters_.resetsDropped;
         output_.logDecision("resetDropped", {{"flow", formatFlowTuple(head.flow)}, {"state", nameOf(state(now))}});
         if (known != nullptr && known->balancer.port != 0) {
@@ -282,6 +284,12 @@
     output_.sendToCaller(head.flow.callerAddress, std::move(packet));
 }
 
+bool RelayAgent::isResetOfUnknownFlow(const RelayPacket &head)
+{
+    const AgentFlow *flow = flows_.find(head.flow);
+    return head.reset && !head.returned && (flow == nullptr || flow->probed);
+}
+
 void RelayAgent::giveUp(Timestamp now, const FlowTuple &tuple)
 {
     const AgentFlow *flow = flows_.find(tuple);
@@ -402,7 +410,7 @@
 bool RelayAgent::isTargetGone(Timestamp now) const
 {
     // Not state(): an agent that leaves still knows whether its target has ended.
-    return target_.state(now) == TargetState::Gone;
+    return target_.state(now) == TargetState::Gone || (leaving_ && target_.isFirstReportOverdue(now));
 }
 
 bool RelayAgent::isOfEndedTarget(Timestamp now, const AgentFlow &flow) const
--- a/src/relay/relayagent.h
+++ b/src/relay/relayagent.h
@@ -96,6 +96,8 @@
     void handleAnswer(Timestamp now, std::string packet, const RelayPacket &head);
     void
     deliver(Timestamp now, const PeerAddress &from, std::string packet, const RelayPacket &head, std::uint32_t mode);
+    /** A target that does not listen resets what reaches it. This says nothing about flows that others may hold. */
+    bool isResetOfUnknownFlow(const RelayPacket &head);
     /** Forgets a flow whose target seems to have ended. */
     void giveUp(Timestamp now, const FlowTuple &tuple);
     void returnPacket(Timestamp now, const PeerAddress &to, ReturnReason reason, std::string packet);
--- a/src/relay/targetstatus.cpp
+++ b/src/relay/targetstatus.cpp
@@ -8,6 +8,8 @@
 
 // Two reports in a row may be lost or late before a target that sends no packets either counts as gone.
 constexpr int MissedReports = 3;
+// Targets report about once an interval, and repeat a report without an answer sooner.
+constexpr std::int64_t OverduePercent = 125;
 // A live target on the same VM answers an opening packet within a millisecond; this leaves room for a busy processor.
 constexpr Milliseconds OpenAnswerTimeout(100);
 
@@ -15,6 +17,7 @@
 
 TargetStatus::TargetStatus(Milliseconds reportInterval, Timestamp now)
     : reportInterval_(reportInterval)
+    , started_(now)
     , heard_(now)
     , pauses_(now)
 {
@@ -67,12 +70,12 @@
 
 TargetState TargetStatus::state(Timestamp now) const
 {
-    if (!reported_) {
-        return TargetState::Unknown;
-    }
     if (left_ || pauses_.silence(now, heard_) > reportInterval_ * MissedReports) {
         return TargetState::Gone;
     }
+    if (!reported_) {
+        return TargetState::Unknown;
+    }
     if (report_.draining) {
         return TargetState::Draining;
     }
@@ -82,6 +85,11 @@
     return TargetState::Ready;
 }
 
+bool TargetStatus::isFirstReportOverdue(Timestamp now) const
+{
+    return !reported_ && pauses_.silence(now, started_) > Milliseconds(reportInterval_.count() * OverduePercent / 100);
+}
+
 std::optional<Milliseconds> TargetStatus::reportAge(Timestamp now) const
 {
     return reported_ ? std::optional<Milliseconds>(now - *reported_) : std::nullopt;
--- a/src/relay/targetstatus.h
+++ b/src/relay/targetstatus.h
@@ -48,9 +48,12 @@
     /** The target said that it has ended. Returns false if another start is known by now. */
     bool leave(const std::string &target);
 
-    /** A packet of the target arrived. */
+    /** A packet of the target arrived that shows that it runs. */
     void answered(Timestamp now);
 
+    /** Whether the target sent no report since the agent started, although a running one would have. */
+    bool isFirstReportOverdue(Timestamp now) const;
+
     /** An opening packet was sent to the target. */
     void askedToOpen(Timestamp now);
 
@@ -77,6 +80,7 @@
 
 private:
     Milliseconds reportInterval_;
+    Timestamp started_;
     TargetReport report_;
     std::optional<Timestamp> reported_;
     /** The last report or packet of the target. */
--- a/src/tests/relayagenttest.cpp
+++ b/src/tests/relayagenttest.cpp
@@ -390,6 +390,39 @@
     BOOST_TEST(output.toTarget.size() == 1u);
 }
 
+// Guards against searches that wait 5 s for an agent that has left for good: seen on dryer-book, inc-209f, where
+// targets had ended during a loss of power, so that their new agents never had a report. 40 requests failed.
+BOOST_AUTO_TEST_CASE(agentThatLeavesWithoutAnyReportSaysThatItsTargetHasEnded)
+{
+    for (const std::int64_t waited : {600, 1400}) {
+        RecordedOutput restartedOutput;
+        RelayAgent restarted(
+            {relayPeer("agent-1", PeerRole::Agent, 9), "desk", Milliseconds(1000), {}}, now, format, restartedOutput);
+        restarted.onPeersNamed(now, {relayPeer("balancer-1", PeerRole::Balancer, 1)});
+        for (std::int64_t passed = 0; passed < waited; passed += 20) {
+            restarted.onTick(now + Milliseconds(passed));
+        }
+        restarted.beginLeave(now + Milliseconds(waited));
+        restartedOutput.clear();
+        restarted.finishLeave(now + Milliseconds(waited));
+        BOOST_REQUIRE(restartedOutput.toPeers.size() == 1u);
+        BOOST_TEST(restartedOutput.toPeers[0].second.hello().target_ended() == (waited > 1250));
+    }
+}
+
+// Guards against a target that seems to run since its VM resets all packets.
+BOOST_AUTO_TEST_CASE(agentWhoseTargetOnlyResetsTakesItForGone)
+{
+    RecordedOutput restartedOutput;
+    RelayAgent restarted(
+        {relayPeer("agent-1", PeerRole::Agent, 9), "desk", Milliseconds(1000), {}}, now, format, restartedOutput);
+    for (std::int64_t passed = 0; passed < 3200; passed += 20) {
+        restarted.onTick(now + Milliseconds(passed));
+        restarted.onTargetPacket(now + Milliseconds(passed), caller.answer(false, 0, true));
+    }
+    BOOST_TEST((restarted.state(now + Milliseconds(3200)) == TargetState::Gone));
+}
+
 // Guards against callers that wait for a target that ended before its agent.
 BOOST_AUTO_TEST_CASE(agentThatLeavesAfterItsTargetDeniesItsFlows)
 {
