Eject targets that cut off their requests

Cause: a target that is down accepts flows and resets them at their first request. Callers do not repeat requests of flows that opened, unless these are idempotent.

Change: an agent counts requests that its target resets, three in a row eject it for 0.5 s to 4 s, and then it is on trial with one flow at a time. Balancers leave out ejected targets, never more than half of a group. A reset of a flow that the target had closed does not count.

--- a/src/node/nodereport.cpp
+++ b/src/node/nodereport.cpp
@@ -84,6 +84,11 @@
         "requests_finished_total", "Requests with an answer", &RelayAgentCounters::requestsFinished},
     CounterRow<RelayAgentCounters> {
         "requests_abandoned_total", "Requests that ended without an answer", &RelayAgentCounters::requestsAbandoned},
+    CounterRow<RelayAgentCounters> {
+        "requests_cut_off_total", "Requests that the target reset", &RelayAgentCounters::requestsCutOff},
+    CounterRow<RelayAgentCounters> {"ejections_total",
+                                    "Times that the target was ejected for the requests that it reset",
+                                    &RelayAgentCounters::ejections},
     CounterRow<RelayAgentCounters> {
         "target_reports_outdated_total", "Late status reports", &RelayAgentCounters::reportsOutdated},
 };
--- a/src/relay/flowplacement.cpp
+++ b/src/relay/flowplacement.cpp
@@ -19,6 +19,8 @@
 // A target that rejects requests answers them fast. It must not look so fast that it draws all new flows; the fastest
 // real targets are about four times as fast as the mean.
 constexpr double LeastServiceTimeShare = 0.25;
+// An ejected target may be no worse than the others, as when a fault hits all of them, so half of a group goes on.
+constexpr std::size_t EjectedShareDivisor = 2;
 // How much busier than its group a target of the own availability zone may be before flows leave the zone.
 constexpr double ZoneTolerance = 0.10;
 
@@ -49,6 +51,27 @@
     return known - ended;
 }
 
+std::vector<const KnownTarget *> usableOf(Timestamp now, const std::vector<const KnownTarget *> &group)
+{
+    std::vector<const KnownTarget *> usable;
+    std::copy_if(group.begin(), group.end(), std::back_inserter(usable), [now](const KnownTarget *target) {
+        return TargetDirectory::isUsable(now, *target);
+    });
+    return usable;
+}
+
+/** Leaves out ejected targets, but never more than the tolerated share. */
+std::vector<const KnownTarget *> withoutEjected(std::vector<const KnownTarget *> usable)
+{
+    std::size_t leftOut = 0;
+    const std::size_t limit = usable.size() / EjectedShareDivisor;
+    const auto isLeftOut = [&leftOut, limit](const KnownTarget *target) {
+        return target->state == TargetState::Ejected && leftOut++ < limit;
+    };
+    usable.erase(std::remove_if(usable.begin(), usable.end(), isLeftOut), usable.end());
+    return usable;
+}
+
 bool contains(const std::vector<PeerAddress> &addresses, const PeerAddress &address)
 {
     return std::find(addresses.begin(), addresses.end(), address) != addresses.end();
@@ -97,10 +120,7 @@
                                                  const OfferHistory &history,
                                                  Milliseconds acceptedWait)
 {
-    std::vector<const KnownTarget *> usable;
-    std::copy_if(group.begin(), group.end(), std::back_inserter(usable), [now](const KnownTarget *target) {
-        return TargetDirectory::isUsable(now, *target);
-    });
+    const std::vector<const KnownTarget *> usable = withoutEjected(usableOf(now, group));
     if (usable.empty()) {
         return Refusal::NoTarget;
     }
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -171,15 +171,19 @@
         deliver(now, from, forward.packet(), head, valueOf(ForwardMode::Open));
         return;
     }
-    if (state(now) != TargetState::Ready) {
+    const TargetState current = state(now);
+    if (current != TargetState::Ready && current != TargetState::Ejected) {
         ++counters_.returnedNotReady;
         returnPacket(now, from, ReturnReason::NotReady, forward.packet());
         return;
     }
     const std::uint32_t opening = flows_.expectedRequests(now);
     const Milliseconds wait = flows_.meter().expectedWait(opening);
-    const bool queueFull = flows_.meter().busy() + opening >= flows_.meter().slots() + QueueLimit;
-    if (queueFull || wait > Milliseconds(forward.accepted_wait_ms())) {
+    const std::uint32_t requests = flows_.meter().busy() + opening;
+    // Balancers offer flows to an ejected target only if too many others are ejected as well.
+    const bool trialTaken = flows_.outliers().isOnTrial(now) && requests > 0;
+    const bool queueFull = requests >= flows_.meter().slots() + QueueLimit;
+    if (trialTaken || queueFull || wait > Milliseconds(forward.accepted_wait_ms())) {
         ++counters_.returnedBusy;
         returnPacket(now, from, ReturnReason::Busy, forward.packet());
         return;
@@ -280,7 +284,16 @@
             answerFlow(now, flow.balancer, head.flow, probed ? FlowPresence::Held : FlowPresence::Opened);
         }
     }
+    const std::uint64_t ejections = flows_.outliers().ejections();
     flows_.noteTargetPacket(now, flow, head);
+    if (flows_.outliers().ejections() > ejections) {
+        output_.logDecision("targetEjected",
+                            {{"target", target_.target()},
+                             {"flow", formatFlowTuple(head.flow)},
+                             {"failuresInRow", std::to_string(flows_.outliers().failuresInRow())},
+                             {"forMs", std::to_string(flows_.outliers().timeLeft(now).count())}});
+        peers_.requestReport(now);
+    }
     output_.sendToCaller(head.flow.callerAddress, std::move(packet));
 }
 
@@ -460,7 +473,11 @@
 
 TargetState RelayAgent::state(Timestamp now) const
 {
-    return leaving_ ? TargetState::AgentLeaving : target_.state(now);
+    if (leaving_) {
+        return TargetState::AgentLeaving;
+    }
+    const TargetState reported = target_.state(now);
+    return reported == TargetState::Ready && flows_.outliers().isEjected(now) ? TargetState::Ejected : reported;
 }
 
 } // namespace rhubarblane
--- a/src/relay/relayagentcounters.h
+++ b/src/relay/relayagentcounters.h
@@ -21,6 +21,8 @@
     std::uint64_t resetsDropped = 0; ///< Resets of the target for flows that it does not hold.
     std::uint64_t requestsFinished = 0;
     std::uint64_t requestsAbandoned = 0; ///< Ended without an answer.
+    std::uint64_t requestsCutOff = 0; ///< Those of them that the target reset.
+    std::uint64_t ejections = 0;
     std::uint64_t reportsOutdated = 0;
 };
 
--- a/src/relay/relaytypes.cpp
+++ b/src/relay/relaytypes.cpp
@@ -30,6 +30,8 @@
         return "unresponsive";
     case TargetState::AgentLeaving:
         return "agentLeaving";
+    case TargetState::Ejected:
+        return "ejected";
     }
     return "invalid";
 }
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -32,6 +32,7 @@
     Gone = 3, ///< Left, or sends no status reports any more.
     Unresponsive = 4, ///< Does not answer opening packets.
     AgentLeaving = 5, ///< The agent itself stops.
+    Ejected = 6, ///< Cuts off its requests and gets no new flow for some time.
 };
 
 /** How an agent treats a forwarded packet. The values are on the wire. */
--- a/src/relay/targetdirectory.cpp
+++ b/src/relay/targetdirectory.cpp
@@ -17,8 +17,8 @@
 TargetState stateOf(const wire::relay::Load &load)
 {
     const std::uint32_t state = load.state();
-    return state <= static_cast<std::uint32_t>(TargetState::AgentLeaving) ? static_cast<TargetState>(state)
-                                                                          : TargetState::Unknown;
+    return state <= static_cast<std::uint32_t>(TargetState::Ejected) ? static_cast<TargetState>(state)
+                                                                     : TargetState::Unknown;
 }
 
 } // namespace
@@ -150,8 +150,8 @@
 
 bool TargetDirectory::isUsable(Timestamp now, const KnownTarget &target)
 {
-    return target.state == TargetState::Ready && !target.silent
-        && now - target.heard < target.reportInterval * MissedReports;
+    const bool takesFlows = target.state == TargetState::Ready || target.state == TargetState::Ejected;
+    return takesFlows && !target.silent && now - target.heard < target.reportInterval * MissedReports;
 }
 
 } // namespace rhubarblane
--- a/src/relay/targetdirectory.h
+++ b/src/relay/targetdirectory.h
@@ -67,7 +67,7 @@
     /** All targets of a group that the balancer knows. The pointers are valid until the next change. */
     std::vector<const KnownTarget *> ofGroup(GroupId group) const;
 
-    /** Whether the target can get new flows now. */
+    /** Whether the target can get new flows now. An ejected one can if too many others are ejected. */
     static bool isUsable(Timestamp now, const KnownTarget &target);
 
     std::size_t size() const
--- a/src/relay/targetflows.cpp
+++ b/src/relay/targetflows.cpp
@@ -34,7 +34,7 @@
     flow.callerClosed = flow.callerClosed || head.closing || head.reset;
     if (head.reset) {
         flow.targetClosed = true;
-        endRequest(now, flow, false);
+        endRequest(now, flow, RequestEnd::Abandoned);
         return;
     }
     if (head.payloadBytes == 0) {
@@ -61,10 +61,14 @@
         flow.callerSequence = head.acknowledgement;
         flow.sentRequest = flow.sentRequest || !head.opening;
     }
+    // A request can meet the end of a flow that the target found idle. This is no failure of the target.
+    const bool cutOff = head.reset && !flow.targetClosed;
     flow.targetClosed = flow.targetClosed || head.closing || head.reset;
-    if (head.payloadBytes > 0 || head.reset || head.closing) {
+    if (head.reset) {
+        endRequest(now, flow, cutOff ? RequestEnd::CutOff : RequestEnd::Abandoned);
+    } else if (head.payloadBytes > 0 || head.closing) {
         // The end of a flow can overtake the answer's last bytes.
-        endRequest(now, flow, !head.reset);
+        endRequest(now, flow, RequestEnd::Answered);
     }
     if (head.reset) {
         flow.callerClosed = true;
@@ -74,7 +78,7 @@
 void TargetFlows::forget(Timestamp now, const FlowTuple &tuple)
 {
     if (AgentFlow *flow = flows_.find(tuple)) {
-        endRequest(now, *flow, false);
+        endRequest(now, *flow, RequestEnd::Abandoned);
         flows_.erase(tuple);
     }
 }
@@ -82,6 +86,7 @@
 void TargetFlows::startAnew(Timestamp now, std::uint64_t start, bool heldBefore)
 {
     meter_.clear(now);
+    outliers_.clear();
     flows_.forEach([start, heldBefore](AgentFlow &flow) {
         flow.requestPending = false;
         flow.targetStart = heldBefore ? start : flow.targetStart;
@@ -100,11 +105,11 @@
 
 void TargetFlows::sweep(Timestamp now)
 {
-    flows_.expire(now, FlowRetention, [this, now](AgentFlow &flow) { endRequest(now, flow, false); });
+    flows_.expire(now, FlowRetention, [this, now](AgentFlow &flow) { endRequest(now, flow, RequestEnd::Abandoned); });
     std::vector<FlowTuple> ended;
     flows_.forEach([&](AgentFlow &flow) {
         if (flow.requestPending && now - flow.lastActive > RequestRetention) {
-            endRequest(now, flow, false);
+            endRequest(now, flow, RequestEnd::Abandoned);
         }
         if (flow.closed() && now - flow.lastActive > ClosedRetention) {
             ended.push_back(flow.tuple);
@@ -115,19 +120,25 @@
     }
 }
 
-void TargetFlows::endRequest(Timestamp now, AgentFlow &flow, bool answered)
+void TargetFlows::endRequest(Timestamp now, AgentFlow &flow, RequestEnd end)
 {
     if (!flow.requestPending) {
         return;
     }
     flow.requestPending = false;
-    if (answered) {
+    if (end == RequestEnd::Answered) {
         ++counters_.requestsFinished;
+        outliers_.noteAnswer(now);
         requestTimes_.add(now - flow.requestStarted);
         meter_.finish(now, flow.requestStarted, flow.requestInSlot);
     } else {
         ++counters_.requestsAbandoned;
         meter_.abandon(now);
+        if (end == RequestEnd::CutOff) {
+            ++counters_.requestsCutOff;
+            outliers_.noteFailure(now);
+            counters_.ejections = outliers_.ejections();
+        }
     }
 }
 
--- a/src/relay/targetflows.h
+++ b/src/relay/targetflows.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/latencyhistogram.h"
 #include "relay/agentflow.h"
+#include "relay/outlierdetector.h"
 #include "relay/packetformat.h"
 #include "relay/recentflows.h"
 #include "relay/relayagentcounters.h"
@@ -72,17 +73,29 @@
     {
         return requestTimes_;
     }
+    /** Fed with the ends of the requests. */
+    const OutlierDetector &outliers() const
+    {
+        return outliers_;
+    }
     std::size_t size() const
     {
         return flows_.size();
     }
 
 private:
-    void endRequest(Timestamp now, AgentFlow &flow, bool answered);
+    enum class RequestEnd {
+        Answered,
+        CutOff, ///< The target reset the flow.
+        Abandoned, ///< The caller gave up, or nothing is known of the end.
+    };
+
+    void endRequest(Timestamp now, AgentFlow &flow, RequestEnd end);
 
     RelayAgentCounters &counters_;
     RecentFlows<AgentFlow> flows_;
     RequestMeter meter_;
+    OutlierDetector outliers_;
     LatencyHistogram requestTimes_;
     std::vector<std::pair<FlowTuple, Timestamp>> opening_;
 };
--- a/src/tests/flowplacementtest.cpp
+++ b/src/tests/flowplacementtest.cpp
@@ -140,6 +140,19 @@
     BOOST_TEST((refusal(targets, {}) == Refusal::NoTarget));
 }
 
+// Guards against new flows for a target that cuts off its requests, and against an ejection of most of a group, which
+// would overload the rest.
+BOOST_AUTO_TEST_CASE(placementLeavesOutEjectedTargetsUpToHalfOfGroup)
+{
+    std::vector<KnownTarget> targets {target(1, 0, 20.0), target(2, 0, 20.0), target(3, 0, 20.0), target(4, 0, 20.0)};
+    targets[0].state = TargetState::Ejected;
+    BOOST_TEST(firstOffers(targets, 100).size() == 3u);
+    for (KnownTarget &each : targets) {
+        each.state = TargetState::Ejected;
+    }
+    BOOST_TEST(firstOffers(targets, 100).size() == 2u);
+}
+
 // Guards against offers without end: the last one says so and carries the limit of the wait.
 BOOST_AUTO_TEST_CASE(placementAfterThreeOffersMakesLastOneWithWait)
 {
--- a/src/tests/relayagenttest.cpp
+++ b/src/tests/relayagenttest.cpp
@@ -446,6 +446,44 @@
     BOOST_TEST((agent.state(now) == TargetState::Ready));
 }
 
+// Guards against a target that fails its trial and gets many new flows at once, and against one that never comes back.
+BOOST_AUTO_TEST_CASE(agentAfterEjectionTakesOneFlowUntilRequestIsAnswered)
+{
+    for (std::uint16_t port = 41000; port < 41003; ++port) {
+        const RelayCaller failing(port);
+        open(failing);
+        forward(failing.data(1), ForwardMode::Known);
+        agent.onTargetPacket(now, failing.answer(false, 0, true));
+    }
+    BOOST_TEST((agent.state(now) == TargetState::Ejected));
+    BOOST_TEST(agent.counters().requestsCutOff == 3u);
+    pass(500);
+    BOOST_TEST((agent.state(now) == TargetState::Ready));
+    open(caller);
+    forward(other.opening(), ForwardMode::Open, 500);
+    BOOST_TEST((returned() == ReturnReason::Busy));
+    forward(caller.data(1), ForwardMode::Known);
+    agent.onTargetPacket(now, caller.answer(false, 50));
+    output.clear();
+    forward(other.opening(), ForwardMode::Open, 500);
+    BOOST_TEST(!returned().has_value());
+}
+
+// Guards against an ejection for requests that met the end of an idle flow, as callers' reused flows do.
+BOOST_AUTO_TEST_CASE(agentWithRequestsOnFlowsThatTargetHadClosedDoesNotEjectIt)
+{
+    for (std::uint16_t port = 41000; port < 41005; ++port) {
+        const RelayCaller late(port);
+        open(late);
+        PlainPacketFormat::Bytes end = PlainPacketFormat::bytesOf(late.answer(false, 0));
+        end.closing = true;
+        agent.onTargetPacket(now, PlainPacketFormat::encode(end));
+        forward(late.data(1), ForwardMode::Known);
+        agent.onTargetPacket(now, late.answer(false, 0, true));
+    }
+    BOOST_TEST((agent.state(now) == TargetState::Ready));
+}
+
 // Guards against a graceful stop that cuts off a request, and against one that never ends.
 BOOST_AUTO_TEST_CASE(agentThatLeavesWaitsForRequestInFlight)
 {
--- a/src/tests/relaypathtest.cpp
+++ b/src/tests/relaypathtest.cpp
@@ -139,7 +139,7 @@
     request(*balancers[0], 4001);
     RelayWorld::Vm &owner = ownerOf(4001);
     owner.running = false;
-    owner.target = {"intake-1", "intake", world.now().milliseconds(), 0, true, false, {}, 0};
+    owner.target = {"intake-1", "intake", world.now().milliseconds(), 0, true, false, false, {}, 0};
     owner.peer.name = "agent-9";
     world.line() << "the VM serves intake now\n";
     world.startAgent(owner);
@@ -213,4 +213,47 @@
     check("relay-all-restarted.txt");
 }
 
+// Guards against a target that cuts off its requests at once, seems idle and therefore draws most new flows.
+BOOST_AUTO_TEST_CASE(targetThatCutsOffItsRequestsGetsTrialsOnly)
+{
+    agents[0]->target.cutsOff = true;
+    constexpr int Flows = 300;
+    for (std::uint16_t port = 5000; port < 5000 + Flows; ++port) {
+        world.send(*balancers[port % 2], RelayCaller(port).opening());
+        world.run(10);
+        world.send(*balancers[port % 2], RelayCaller(port).data(1));
+        world.run(5);
+    }
+    world.run(50);
+    BOOST_TEST(world.answers + world.resets == Flows);
+    // Three until the ejection, some flows on their way, and trials after 0.5 s, 1.5 s and 3.5 s.
+    BOOST_TEST(world.resets <= 9);
+
+    agents[0]->target.cutsOff = false;
+    world.run(4000);
+    const std::uint64_t before = agents[0]->target.requests;
+    for (std::uint16_t port = 6000; port < 6050; ++port) {
+        request(*balancers[port % 2], port);
+    }
+    BOOST_TEST(agents[0]->target.requests - before >= 10u);
+}
+
+// Guards against a group without any target when a common cause makes all of them cut off requests.
+BOOST_AUTO_TEST_CASE(groupWhoseTargetsAllCutOffRequestsIsOfferedNewFlows)
+{
+    for (RelayWorld::Vm *agent : agents) {
+        agent->target.cutsOff = true;
+    }
+    for (std::uint16_t port = 5000; port < 5040; ++port) {
+        request(*balancers[port % 2], port);
+    }
+    for (RelayWorld::Vm *agent : agents) {
+        agent->target.cutsOff = false;
+    }
+    world.resets = 0;
+    request(*balancers[0], 5100);
+    BOOST_TEST(world.answers == 1);
+    BOOST_TEST(world.resets == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/relayworld.h
+++ b/src/tests/relayworld.h
@@ -241,6 +241,7 @@
         std::uint64_t sequence = 0;
         bool alive = true;
         bool draining = false;
+        bool cutsOff = false; ///< Resets its flows instead of answering requests.
         std::set<std::uint16_t> flows; ///< Ports of callers.
         std::uint64_t requests = 0;
     };
@@ -307,7 +308,7 @@
     Vm &addAgent(const std::string &name, std::uint32_t host, const std::string &group, const std::string &targetId)
     {
         Vm &vm = add(relayPeer(name, PeerRole::Agent, host));
-        vm.target = Target {targetId, group, now_.milliseconds() + 1, 0, true, false, {}, 0};
+        vm.target = Target {targetId, group, now_.milliseconds() + 1, 0, true, false, false, {}, 0};
         startAgent(vm);
         return vm;
     }
@@ -447,7 +448,12 @@
             fromTarget(vm, 1, caller.answer(true, 0));
         } else if (bytes.payloadBytes > 0) {
             ++vm.target.requests;
-            fromTarget(vm, 10, caller.answer(false, 50));
+            if (vm.target.cutsOff) {
+                vm.target.flows.erase(bytes.sourcePort);
+                fromTarget(vm, 1, caller.answer(false, 0, true));
+            } else {
+                fromTarget(vm, 10, caller.answer(false, 50));
+            }
         }
     }
 
