Let a balancer hold packets until it knows a target of their service

Excluded: the owner, which was alive and was sent nothing; loss of the network alone.

Change: packets of a known service without any known target wait for 1.2 s, at most 4096 of them. The demo fails when more than 1% of the flows of one kind of caller have no answer; both tests failed before.

--- a/src/balancer/balancercore.cpp
+++ b/src/balancer/balancercore.cpp
@@ -11,6 +11,10 @@
 
 // Three missed announcements.
 constexpr Milliseconds TargetLease(4000);
+// A balancer that has just started hears of all targets within one interval of announcements, 1 s, and a round trip.
+constexpr Milliseconds HoldPeriod(1200);
+// With 1.5 KB each they take 6 MB of the 64 MB of the design.
+constexpr std::size_t MaximumHeld = 4096;
 
 bool hasEqualLabels(const wire::TargetEntry &a, const wire::TargetEntry &b)
 {
@@ -41,6 +45,33 @@
     const PacketInfo &info = std::get<PacketInfo>(parsed);
     if (const std::optional<Route> found = route(info.flow)) {
         forward(info, *found, packet);
+    } else if (services_.find(info.flow) != ServiceId()) {
+        hold(now, info, packet);
+    }
+}
+
+void BalancerCore::hold(Timestamp now, const PacketInfo &info, std::string_view packet)
+{
+    if (held_.size() < MaximumHeld) {
+        held_.push_back(HeldPacket {now, info, std::string(packet)});
+    } else {
+        ++counters_.heldDropped;
+    }
+}
+
+void BalancerCore::releaseHeld(Timestamp now)
+{
+    for (HeldPacket &held : std::exchange(held_, {})) {
+        const FlowTuple &flow = held.info.flow;
+        const ServiceId service = services_.find(flow);
+        if (service != ServiceId() && targets_.homeOf(service, flowHashOf(flow)) != nullptr) {
+            ++counters_.heldSent;
+            forward(held.info, *route(flow), held.packet);
+        } else if (service == ServiceId() || now - held.since >= HoldPeriod) {
+            ++counters_.heldDropped;
+        } else {
+            held_.push_back(std::move(held));
+        }
     }
 }
 
@@ -116,6 +147,7 @@
 void BalancerCore::tick(Timestamp now)
 {
     targets_.expire(now);
+    releaseHeld(now);
 }
 
 std::vector<BalancerSend> BalancerCore::takeActions()
--- a/src/balancer/balancercore.h
+++ b/src/balancer/balancercore.h
@@ -43,6 +43,8 @@
     std::uint64_t toHome = 0;
     std::uint64_t unknownService = 0;
     std::uint64_t noTarget = 0;
+    std::uint64_t heldSent = 0; ///< Forwarded after a wait for the first target of their service.
+    std::uint64_t heldDropped = 0;
     std::uint64_t malformed = 0;
     std::uint64_t fragments = 0;
     std::uint64_t unsupportedProtocol = 0;
@@ -100,6 +102,16 @@
 private:
     void handle(Timestamp now, const PeerAddress &from, const wire::Announce &message);
     void handle(const wire::FlowOwner &message);
+    /** A packet of a service that has no known target yet. */
+    struct HeldPacket {
+        Timestamp since;
+        PacketInfo info;
+        std::string packet;
+    };
+
+    void hold(Timestamp now, const PacketInfo &info, std::string_view packet);
+    /** Forwards held packets whose service has got a target, and drops those that waited too long. */
+    void releaseHeld(Timestamp now);
     void forward(const PacketInfo &info, const Route &route, std::string_view packet);
     void countPacketError(PacketError error);
     void bindTargets();
@@ -111,6 +123,7 @@
     std::unordered_map<ServiceId, const ServiceSpec *> specs_;
     FlowCache cache_;
     BalancerCounters counters_;
+    std::vector<HeldPacket> held_;
     std::vector<BalancerSend> actions_;
 };
 
--- a/src/daemon/balancerreport.cpp
+++ b/src/daemon/balancerreport.cpp
@@ -19,12 +19,14 @@
     std::uint64_t BalancerCounters::*count;
 };
 
-constexpr std::array<CounterSpec, 8> Counters {{
+constexpr std::array<CounterSpec, 10> Counters {{
     {"packets_total", "IP packets from the fabric.", &BalancerCounters::packets},
     {"packets_to_owner_total", "Packets forwarded to a cached owner.", &BalancerCounters::cacheHits},
     {"packets_to_home_total", "Packets forwarded to the home of their flow.", &BalancerCounters::toHome},
     {"packets_unknown_service_total", "Packets to no service.", &BalancerCounters::unknownService},
     {"packets_no_target_total", "Packets of a service without targets.", &BalancerCounters::noTarget},
+    {"packets_held_sent_total", "Those of them that a target got after a wait.", &BalancerCounters::heldSent},
+    {"packets_held_dropped_total", "Those of them that were dropped.", &BalancerCounters::heldDropped},
     {"packets_malformed_total", "Packets that cannot be parsed.", &BalancerCounters::malformed},
     {"packets_fragment_total", "IP fragments.", &BalancerCounters::fragments},
     {"packets_unsupported_total", "Packets neither TCP nor UDP over IPv4.", &BalancerCounters::unsupportedProtocol},
--- a/src/standins/runreport.cpp
+++ b/src/standins/runreport.cpp
@@ -27,6 +27,9 @@
                                                    "p99Ms"};
 constexpr int NameWidth = 24;
 constexpr int CountWidth = 11;
+// A crash may cost the requests at one target or in one balancer for a second; the runs of the demo last half a minute
+// and crash two of 25 processes.
+constexpr double MostUnansweredShare = 0.01;
 
 double useOf(double amount, double slots, double speed)
 {
@@ -166,6 +169,13 @@
     require(misrouted == 0, "P2: " + std::to_string(misrouted) + " packets reached another service");
     require(total("crossed") == 0, "P3: " + std::to_string(total("crossed")) + " answers reached another request");
     require(refusedButRan() == 0, "P4: " + std::to_string(refusedButRan()) + " refused requests ran");
+    for (const Callers &callers : callers_) {
+        const auto unanswered = static_cast<double>(callers.counts.at("unanswered"));
+        const bool fewUnanswered = unanswered <= MostUnansweredShare * static_cast<double>(callers.counts.at("flows"));
+        require(fewUnanswered,
+                std::to_string(callers.counts.at("unanswered")) + " of " + std::to_string(callers.counts.at("flows"))
+                    + " flows of " + callers.name + " had no answer");
+    }
     require(ranTwice() == 0, "P5: " + std::to_string(ranTwice()) + " requests ran twice");
     return broken;
 }
--- a/src/tests/balancercoretest.cpp
+++ b/src/tests/balancercoretest.cpp
@@ -58,6 +58,27 @@
         core.applyConfiguration(configuration);
     }
 
+    /** A caller's packet of the service. */
+    static std::string request(std::uint16_t port)
+    {
+        FlowTuple flow;
+        flow.callerAddress = 7;
+        flow.callerPort = port;
+        flow.serviceAddress = 1;
+        flow.servicePort = 5000;
+        flow.protocol = Protocol::Udp;
+        return buildUdpRequest(flow, "request");
+    }
+
+    std::size_t forwarded()
+    {
+        std::size_t count = 0;
+        for (const BalancerSend &action : core.takeActions()) {
+            count += action.message.has_forward() ? 1 : 0;
+        }
+        return count;
+    }
+
     Configuration configuration;
     BalancerCore core;
 };
@@ -88,4 +109,32 @@
     BOOST_TEST(ack.removed_size() == 0);
 }
 
+// Guards against a balancer that drops the packets of the second before it hears of the targets: streams were cut off
+// when their callers met a restarted balancer and then a lost home.
+BOOST_AUTO_TEST_CASE(packetBeforeFirstAnnouncementIsForwardedAfterIt)
+{
+    core.handlePacket(Timestamp(1), request(4001));
+    BOOST_TEST(forwarded() == 0u);
+    announce("desk-1");
+    core.tick(Timestamp(20));
+    BOOST_TEST(forwarded() == 1u);
+    core.tick(Timestamp(40));
+    BOOST_TEST(forwarded() == 0u);
+    BOOST_TEST(core.counters().heldSent == 1u);
+}
+
+// Guards against packets that live much longer than their network lets them, and against memory without bound.
+BOOST_AUTO_TEST_CASE(packetsWithoutTargetAreDroppedAfterPeriodOrBeyondLimit)
+{
+    for (std::uint32_t i = 0; i < 5000; ++i) {
+        core.handlePacket(Timestamp(1), request(static_cast<std::uint16_t>(10000 + i)));
+    }
+    BOOST_TEST(core.counters().heldDropped == 904u);
+    core.tick(Timestamp(1201));
+    BOOST_TEST(core.counters().heldDropped == 5000u);
+    announce("desk-1");
+    core.tick(Timestamp(1220));
+    BOOST_TEST(forwarded() == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/standintest.cpp
+++ b/src/tests/standintest.cpp
@@ -150,6 +150,22 @@
     BOOST_TEST(!RunReport().brokenPromises().empty());
 }
 
+// Guards against a run that passes although a balancer answered a quarter of the requests with silence.
+BOOST_AUTO_TEST_CASE(runReportWithManyUnansweredFlowsIsBroken)
+{
+    const auto reportWith = [](std::int64_t unanswered) {
+        web::json::value json = callers(0);
+        json["flows"] = web::json::value(1000);
+        json["unanswered"] = web::json::value(unanswered);
+        RunReport report;
+        report.addCallers(json);
+        return report.brokenPromises();
+    };
+    BOOST_TEST(reportWith(10).empty());
+    const std::vector<std::string> expected {"11 of 1000 flows of c had no answer"};
+    BOOST_TEST(reportWith(11) == expected, boost::test_tools::per_element());
+}
+
 // Guards against an imbalance that ignores the speed of the targets.
 BOOST_AUTO_TEST_CASE(imbalanceOfUnequalTargetsIsOneWhenAllAreEquallyBusy)
 {
