Report at once to a balancer that is heard for the first time

Agents knew the balancer from the store already, had sent it a report before it ran, and left its greeting to the next regular report. Excluded: the balancer's share of a processor (0.5), and agents not yet started (they had been running for 0.2 s).

Change: an agent answers the first greeting of each start of a balancer with a report to this one only. A greeting of an unknown balancer does so too, where it made the agent report to all. The test failed before.

--- a/src/relay/agentpeers.cpp
+++ b/src/relay/agentpeers.cpp
@@ -26,13 +26,15 @@
 {
 }
 
-void AgentPeers::hear(Timestamp now, const Peer &balancer)
+bool AgentPeers::hear(Timestamp now, const Peer &balancer)
 {
-    if (book_.find(balancer.id()) == nullptr) {
+    const PeerBook::Entry *known = book_.find(balancer.id());
+    if (known == nullptr) {
         output_.logDecision("peerFound", {{"peer", balancer.name}, {"from", "hello"}});
-        requestReport(now);
     }
-    book_.hear(now, balancer);
+    // The store may have named a balancer before it could receive reports.
+    const bool isNewStart = known == nullptr || !known->heard || known->peer.incarnation != balancer.incarnation;
+    return book_.hear(now, balancer) && isNewStart;
 }
 
 void AgentPeers::name(Timestamp now, const Peer &peer)
@@ -60,19 +62,32 @@
 
 void AgentPeers::sendReport(Timestamp now, wire::relay::Report report)
 {
-    const std::vector<const PeerBook::Entry *> balancers = book_.withRole(PeerRole::Balancer);
-    const Milliseconds spread(static_cast<std::int64_t>(balancers.size()) * 1000 / ReportsPerSecond);
-    const Milliseconds interval = std::clamp(spread, ShortestReportInterval, LongestReportInterval);
+    const Milliseconds interval = reportInterval();
     report.set_interval_ms(static_cast<std::uint32_t>(interval.count()));
     wire::relay::Message message;
     *message.mutable_report() = std::move(report);
-    for (const PeerBook::Entry *balancer : balancers) {
+    for (const PeerBook::Entry *balancer : book_.withRole(PeerRole::Balancer)) {
         output_.sendToPeer(balancer->peer.address, message);
     }
     contactSeeds(now, message);
     nextReport_ = now + interval;
 }
 
+void AgentPeers::sendReportTo(const Peer &balancer, wire::relay::Report report)
+{
+    report.set_interval_ms(static_cast<std::uint32_t>(reportInterval().count()));
+    wire::relay::Message message;
+    *message.mutable_report() = std::move(report);
+    output_.sendToPeer(balancer.address, message);
+}
+
+Milliseconds AgentPeers::reportInterval() const
+{
+    const Milliseconds spread(static_cast<std::int64_t>(book_.withRole(PeerRole::Balancer).size()) * 1000
+                              / ReportsPerSecond);
+    return std::clamp(spread, ShortestReportInterval, LongestReportInterval);
+}
+
 void AgentPeers::contactSeeds(Timestamp now, const wire::relay::Message &report)
 {
     if (now < nextSeedContact_) {
--- a/src/relay/agentpeers.h
+++ b/src/relay/agentpeers.h
@@ -23,8 +23,8 @@
         return book_;
     }
 
-    /** A message of the balancer itself arrived. */
-    void hear(Timestamp now, const Peer &balancer);
+    /** A message of the balancer itself arrived. Returns true if this start of it has had no report yet. */
+    bool hear(Timestamp now, const Peer &balancer);
 
     /** Another balancer names the peer. Agents are ignored. */
     void name(Timestamp now, const Peer &peer);
@@ -48,6 +48,9 @@
     /** Sends a report to all balancers, and now and then to seeds that are not known as balancers. */
     void sendReport(Timestamp now, wire::relay::Report report);
 
+    /** Sends a report to one balancer, beside the regular ones. */
+    void sendReportTo(const Peer &balancer, wire::relay::Report report);
+
     /** Tells the balancers that the agent ends now, and whether its target has ended. */
     void announceEnd(bool targetEnded);
 
@@ -55,6 +58,8 @@
     void expire(Timestamp now);
 
 private:
+    /** Grows with the number of balancers. */
+    Milliseconds reportInterval() const;
     void contactSeeds(Timestamp now, const wire::relay::Message &report);
 
     PeerBook book_;
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -69,7 +69,9 @@
         peers_.remove(sender);
         return;
     }
-    peers_.hear(now, sender);
+    if (sender.role == PeerRole::Balancer && peers_.hear(now, sender)) {
+        peers_.sendReportTo(sender, makeReport(now));
+    }
     for (const wire::relay::Peer &peer : hello.peers()) {
         peers_.name(now, fromWire(peer));
     }
@@ -390,7 +392,7 @@
         peers_.requestReport(now);
     }
     if (peers_.isReportDue(now)) {
-        sendReport(now);
+        peers_.sendReport(now, makeReport(now));
     }
     if (now >= nextSweep_) {
         nextSweep_ = now + SweepInterval;
@@ -399,13 +401,13 @@
     peers_.expire(now);
 }
 
-void RelayAgent::sendReport(Timestamp now)
+wire::relay::Report RelayAgent::makeReport(Timestamp now)
 {
     wire::relay::Report report;
     *report.mutable_agent() = toWire(settings_.self);
     report.set_group(settings_.group);
     fillLoad(now, *report.mutable_load());
-    peers_.sendReport(now, std::move(report));
+    return report;
 }
 
 void RelayAgent::fillLoad(Timestamp now, wire::relay::Load &load)
--- a/src/relay/relayagent.h
+++ b/src/relay/relayagent.h
@@ -104,7 +104,7 @@
     void answerFlow(Timestamp now, const PeerAddress &balancer, const FlowTuple &tuple, FlowPresence presence);
     void
     handleSearch(Timestamp now, const PeerAddress &from, const wire::relay::Forward &forward, const RelayPacket &head);
-    void sendReport(Timestamp now);
+    wire::relay::Report makeReport(Timestamp now);
     void fillLoad(Timestamp now, wire::relay::Load &load);
     /** Whether the target has ended since the flow opened. */
     bool isOfEndedTarget(Timestamp now, const AgentFlow &flow) const;
--- a/src/tests/relayagenttest.cpp
+++ b/src/tests/relayagenttest.cpp
@@ -446,6 +446,36 @@
     BOOST_TEST((agent.state(now) == TargetState::Ready));
 }
 
+// Guards against a balancer that has started and waits for the next reports of agents, which know it from the store or
+// from its earlier start.
+BOOST_AUTO_TEST_CASE(agentThatHearsNewStartOfBalancerReportsToItAtOnce)
+{
+    Peer known = relayPeer("balancer-1", PeerRole::Balancer, 1);
+    const Peer second = relayPeer("balancer-2", PeerRole::Balancer, 2);
+    agent.onPeersNamed(now, {known, second});
+    agent.onTick(now);
+    const auto reportsAfterHello = [this, &known] {
+        wire::relay::Message hello;
+        *hello.mutable_hello()->mutable_sender() = toWire(known);
+        output.clear();
+        now = now + Milliseconds(10);
+        agent.onPeerMessage(now, known.address, hello);
+        agent.onTick(now);
+        std::vector<PeerAddress> receivers;
+        for (const auto &[peer, message] : output.toPeers) {
+            if (message.has_report()) {
+                receivers.push_back(peer);
+            }
+        }
+        return receivers;
+    };
+    const std::vector<PeerAddress> onlyThisOne {known.address};
+    BOOST_TEST((reportsAfterHello() == onlyThisOne));
+    BOOST_TEST(reportsAfterHello().empty());
+    known.incarnation += 5000;
+    BOOST_TEST((reportsAfterHello() == onlyThisOne));
+}
+
 // Guards against a target that fails its trial and gets many new flows at once, and against one that never comes back.
 BOOST_AUTO_TEST_CASE(agentAfterEjectionTakesOneFlowUntilRequestIsAnswered)
 {
