Name only balancers to agents and one peer in later greetings

Cause: at 300 VMs, greetings carry most of the bytes between processes: 75 balancers send 200 of them a second each, with about 300 bytes, two thirds of which name peers. Agents ignore the names of agents, and receivers know the others after some seconds. Excluded: reports of agents, which are as many but a third of the size.

Change: greetings of agents name balancers, and 20 s after its start a balancer names one peer instead of four. The test failed before.

--- a/src/relay/balancerpeers.cpp
+++ b/src/relay/balancerpeers.cpp
@@ -18,6 +18,11 @@
 constexpr std::int64_t HellosPerSecond = 100;
 // Messages of about 300 bytes: 84 of 1,300 bytes at once filled a link of 10 Mbit/s for 90 ms.
 constexpr std::size_t PeersPerHello = 4;
+// Processes that started a moment ago learn of the others from the store and from first greetings. Later the names only
+// repair what was lost, and four of them are two thirds of a greeting.
+constexpr std::size_t PeersPerLaterHello = 1;
+// Twice the time in which processes without the store learn of all others.
+constexpr Milliseconds LearningPeriod(20000);
 // To a process that has just been heard for the first time.
 constexpr std::size_t PeersPerFirstHello = 24;
 // As often as a lost first contact should delay a start without the store.
@@ -30,8 +35,9 @@
 
 } // namespace
 
-BalancerPeers::BalancerPeers(Peer self, std::vector<PeerAddress> seeds, RelayOutput &output)
-    : book_(std::move(self))
+BalancerPeers::BalancerPeers(Timestamp now, Peer self, std::vector<PeerAddress> seeds, RelayOutput &output)
+    : started_(now)
+    , book_(std::move(self))
     , seeds_(std::move(seeds))
     , output_(output)
 {
@@ -51,7 +57,7 @@
     }
     if (unknown) {
         output_.logDecision("peerFound", {{"peer", peer.name}, {"from", "message"}});
-        greet(now, peer.address, PeersPerFirstHello);
+        greet(now, peer, PeersPerFirstHello);
     }
     return true;
 }
@@ -61,7 +67,7 @@
     if (book_.name(now, peer)) {
         // Agents report to balancers that they have heard of, so each new peer is greeted at once.
         output_.logDecision("peerFound", {{"peer", peer.name}, {"from", std::string(source)}});
-        greet(now, peer.address, PeersPerHello);
+        greet(now, peer, PeersPerHello);
     }
 }
 
@@ -105,14 +111,15 @@
     greetAll(now, PeerRole::Agent);
 }
 
-void BalancerPeers::greet(Timestamp now, const PeerAddress &peer, std::size_t namedPeers)
+void BalancerPeers::greet(Timestamp now, const Peer &peer, std::size_t namedPeers)
 {
-    output_.sendToPeer(peer, makeHello(now, namedPeers));
+    output_.sendToPeer(peer.address, makeHello(now, namedPeers, peer.role));
 }
 
 void BalancerPeers::greetAll(Timestamp now, PeerRole role)
 {
-    const wire::relay::Message message = makeHello(now, PeersPerHello);
+    const bool learning = now - started_ < LearningPeriod;
+    const wire::relay::Message message = makeHello(now, learning ? PeersPerHello : PeersPerLaterHello, role);
     for (const PeerBook::Entry *entry : book_.withRole(role)) {
         output_.sendToPeer(entry->peer.address, message);
     }
@@ -126,19 +133,26 @@
             return entry->peer.address == seed;
         });
         if (!known && seed != book_.self().address) {
-            greet(now, seed, PeersPerHello);
+            output_.sendToPeer(seed, makeHello(now, PeersPerHello, PeerRole::Balancer));
         }
     }
 }
 
-wire::relay::Message BalancerPeers::makeHello(Timestamp now, std::size_t namedPeers)
+wire::relay::Message BalancerPeers::makeHello(Timestamp now, std::size_t namedPeers, PeerRole receiver)
 {
     wire::relay::Message message;
     wire::relay::Hello *hello = message.mutable_hello();
     *hello->mutable_sender() = toWire(book_.self());
     hello->set_table_version(tableVersion_.value());
     hello->set_leaving(ending_);
-    const std::vector<const PeerBook::Entry *> heard = book_.recentlyHeard(now);
+    std::vector<const PeerBook::Entry *> heard = book_.recentlyHeard(now);
+    if (receiver == PeerRole::Agent) {
+        // Agents need to know balancers only.
+        heard.erase(std::remove_if(heard.begin(),
+                                   heard.end(),
+                                   [](const PeerBook::Entry *entry) { return entry->peer.role == PeerRole::Agent; }),
+                    heard.end());
+    }
     for (std::size_t i = 0; i < std::min(namedPeers, heard.size()); ++i) {
         *hello->add_peers() = toWire(heard[namedPeers_++ % heard.size()]->peer);
     }
--- a/src/relay/balancerpeers.h
+++ b/src/relay/balancerpeers.h
@@ -18,7 +18,7 @@
 {
 public:
     /** `output` must outlive the object. */
-    BalancerPeers(Peer self, std::vector<PeerAddress> seeds, RelayOutput &output);
+    BalancerPeers(Timestamp now, Peer self, std::vector<PeerAddress> seeds, RelayOutput &output);
 
     const PeerBook &book() const
     {
@@ -53,11 +53,12 @@
     }
 
 private:
-    void greet(Timestamp now, const PeerAddress &peer, std::size_t namedPeers);
+    void greet(Timestamp now, const Peer &peer, std::size_t namedPeers);
     void greetAll(Timestamp now, PeerRole role);
     void contactSeeds(Timestamp now);
-    wire::relay::Message makeHello(Timestamp now, std::size_t namedPeers);
+    wire::relay::Message makeHello(Timestamp now, std::size_t namedPeers, PeerRole receiver);
 
+    Timestamp started_;
     PeerBook book_;
     std::vector<PeerAddress> seeds_;
     RelayOutput &output_;
--- a/src/relay/relaybalancercontext.cpp
+++ b/src/relay/relaybalancercontext.cpp
@@ -20,7 +20,7 @@
     : settings(std::move(balancerSettings))
     , format(packetFormat)
     , output(relayOutput)
-    , peers(settings.self, settings.seeds, relayOutput)
+    , peers(now, settings.self, settings.seeds, relayOutput)
     , targets(settings.self.availabilityZone)
     , flows(settings.flowLimit)
     , pauses(now)
--- a/src/tests/relaybalancertest.cpp
+++ b/src/tests/relaybalancertest.cpp
@@ -507,6 +507,39 @@
     BOOST_TEST(greeted);
 }
 
+// Guards against greetings that fill the links of a large deployment with names that their receivers know or ignore.
+BOOST_AUTO_TEST_CASE(balancerNamesBalancersToAgentsAndOnePeerAfterLearningPeriod)
+{
+    const Peer middle = relayPeer("balancer-2", PeerRole::Balancer, 2);
+    const Peer last = relayPeer("balancer-3", PeerRole::Balancer, 3);
+    const auto namesSentTo = [&](const Peer &receiver) {
+        for (const Peer &peer : {middle, last}) {
+            wire::relay::Message hello;
+            *hello.mutable_hello()->mutable_sender() = toWire(peer);
+            balancer.onPeerMessage(now, peer.address, hello);
+        }
+        report(first, static_cast<std::uint64_t>(now.milliseconds()));
+        output.clear();
+        now = now + Milliseconds(2000);
+        balancer.onTick(now, now);
+        std::vector<std::string> names;
+        for (const auto &[address, message] : output.toPeers) {
+            if (address == receiver.address && message.has_hello()) {
+                for (const wire::relay::Peer &peer : message.hello().peers()) {
+                    names.push_back(peer.name());
+                }
+            }
+        }
+        return names;
+    };
+    BOOST_TEST(namesSentTo(middle).size() == 3u);
+    const std::vector<std::string> toAgent = namesSentTo(first);
+    BOOST_TEST(toAgent.size() == 2u);
+    BOOST_TEST(std::count(toAgent.begin(), toAgent.end(), first.name) == 0);
+    now = now + Milliseconds(20000);
+    BOOST_TEST(namesSentTo(middle).size() == 1u);
+}
+
 // Guards against the reset of an open flow whose agent restarts: its silence is no denial.
 BOOST_AUTO_TEST_CASE(balancerWithSilentAgentDoesNotResetFlow)
 {
