Forward packets until the process ends, also with a silent store

The log of frontend-bg-a-1 has no flow after 8.94 s, and its process ended at 10.68 s: the event loop had stopped, and the process waited for the calls of the watcher and of the registration, a second each. With one of three balancers ready, the fabric sent packets to all three. Excluded: the store itself, since the other balancers served meanwhile.

Change: a balancer ends its watch and withdraws its entry on the threads of the store when it begins to leave, and the event loop goes on until that is over, at most 1.5 s longer than before. Agents do the same when they may exit.

--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -37,7 +37,7 @@
     }
     loop_.onTick([this](Timestamp now) { tick(now); });
     loop_.onTerminate([this] { core_.beginLeave(loop_.now()); });
-    registrationThread_ = std::make_unique<SteppedThread>([this] { return registration_.step(loop_.now()); });
+    registrationThread_ = std::make_unique<RegistrationThread>(registration_, loop_.clock());
     return std::nullopt;
 }
 
@@ -45,6 +45,11 @@
 {
     core_.onTick(now);
     if (core_.mayExit(now)) {
+        // A target that lives still holds its flows; balancers must wait for its next agent before they take them for
+        // lost.
+        registrationThread_->beginEnd(core_.isTargetGone(now));
+    }
+    if (registrationThread_->mayStop()) {
         core_.finishLeave(now);
         loop_.stop();
     }
@@ -72,10 +77,6 @@
 void AgentNode::stop()
 {
     registrationThread_.reset();
-    // A target that lives still holds its flows; balancers must wait for its next agent before they take them for lost.
-    if (core_.isTargetGone(loop_.now())) {
-        registration_.withdraw();
-    }
 }
 
 std::string AgentNode::metrics()
--- a/src/node/agentnode.h
+++ b/src/node/agentnode.h
@@ -3,8 +3,8 @@
 
 #include "node/nodesettings.h"
 #include "node/peerregistration.h"
+#include "node/registrationthread.h"
 #include "node/relaysockets.h"
-#include "node/steppedthread.h"
 #include "relay/relayagent.h"
 #include "runtime/eventloop.h"
 #include "store/configstore.h"
@@ -29,7 +29,7 @@
 
     std::optional<Error> start();
 
-    /** Ends the threads; withdraws the entry in the store if the target has ended. Call it after the loop has ended. */
+    /** Ends the threads. Call it after the loop has ended. */
     void stop();
 
     /** Acts on a status report of the target; false if the process ends. Any thread but the loop's. */
@@ -51,7 +51,7 @@
     RelaySockets sockets_;
     RelayAgent core_;
     PeerRegistration registration_;
-    std::unique_ptr<SteppedThread> registrationThread_;
+    std::unique_ptr<RegistrationThread> registrationThread_;
 };
 
 } // namespace rhubarblane
--- a/src/node/balancernode.cpp
+++ b/src/node/balancernode.cpp
@@ -13,6 +13,8 @@
 
 // The fabric asks twice a second and takes a balancer out after two misses; the rest is for packets on their way.
 constexpr Milliseconds LeaveDelay(1600);
+// Of a thread that has nothing more to do.
+constexpr Milliseconds IdleInterval(1000);
 
 void logStoreEvent(const std::string &event, const std::string &detail)
 {
@@ -74,8 +76,9 @@
     }
     loop_.onTick([this](Timestamp now) { tick(now); });
     loop_.onTerminate([this] { terminate(); });
-    watcherThread_ = std::make_unique<SteppedThread>([this] { return watcher_.step(balancersHeard_ + 1); });
-    registrationThread_ = std::make_unique<SteppedThread>([this] { return registration_.step(loop_.now()); });
+    watcherThread_ = std::make_unique<SteppedThread>(
+        [this] { return leaving_ ? IdleInterval : watcher_.step(balancersHeard_ + 1); });
+    registrationThread_ = std::make_unique<RegistrationThread>(registration_, loop_.clock());
     return std::nullopt;
 }
 
@@ -85,7 +88,8 @@
     core_.onTick(now, sockets_.messagesRead());
     ready_ = core_.isReady();
     balancersHeard_ = core_.balancersHeard();
-    if (exitAt_ && now >= *exitAt_) {
+    // Packets of flows still come while the fabric uses all balancers of a zone, so nothing else may delay the end.
+    if (exitAt_ && now >= *exitAt_ && registrationThread_->mayStop()) {
         core_.finishLeave(now);
         loop_.stop();
     }
@@ -97,17 +101,18 @@
     if (!exitAt_) {
         core_.beginLeave();
         ready_ = false;
+        leaving_ = true;
         exitAt_ = loop_.now() + LeaveDelay;
+        watcher_.stop();
+        store_.cancelWatches();
+        registrationThread_->beginEnd(true);
     }
 }
 
 void BalancerNode::stop()
 {
-    watcher_.stop();
-    store_.cancelWatches();
     watcherThread_.reset();
     registrationThread_.reset();
-    registration_.withdraw();
 }
 
 std::string BalancerNode::metrics()
--- a/src/node/balancernode.h
+++ b/src/node/balancernode.h
@@ -3,6 +3,7 @@
 
 #include "node/nodesettings.h"
 #include "node/peerregistration.h"
+#include "node/registrationthread.h"
 #include "node/relaysockets.h"
 #include "node/steppedthread.h"
 #include "node/tablewatcher.h"
@@ -33,7 +34,7 @@
 
     std::optional<Error> start();
 
-    /** Ends the threads and withdraws the entry in the store. Call it after the loop has ended. */
+    /** Ends the threads. Call it after the loop has ended. */
     void stop();
 
     /** May be called on any thread. */
@@ -59,9 +60,10 @@
     PeerRegistration registration_;
     TableWatcher watcher_;
     std::atomic<bool> ready_ = false;
+    std::atomic<bool> leaving_ = false;
     std::atomic<std::size_t> balancersHeard_ = 0;
     std::optional<Timestamp> exitAt_;
-    std::unique_ptr<SteppedThread> registrationThread_;
+    std::unique_ptr<RegistrationThread> registrationThread_;
     std::unique_ptr<SteppedThread> watcherThread_;
 };
 
--- a/src/node/steppedthread.h
+++ b/src/node/steppedthread.h
@@ -24,13 +24,17 @@
     /** Waits for the running step. */
     ~SteppedThread();
 
+    /** The next step comes at once, or after the running one. */
+    void wake();
+
 private:
     void run();
 
     Step step_;
     std::mutex mutex_;
-    std::condition_variable stop_;
+    std::condition_variable changed_;
     bool stopping_ = false;
+    bool woken_ = false;
     std::thread thread_;
 };
 
--- a/src/runtime/eventloop.h
+++ b/src/runtime/eventloop.h
@@ -67,6 +67,10 @@
     /** Called on the loop's thread for each SIGHUP, which must be blocked too. */
     void onReload(Handler handler);
 
+    const Clock &clock() const
+    {
+        return clock_;
+    }
     Timestamp now() const
     {
         return clock_.now();
