--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -19,6 +19,16 @@
     esac
     shift 2
 done
+for number in "$seed" "$minutes" "$processes"; do
+    if [[ ! $number =~ ^[0-9]+$ ]]; then
+        echo "soak.sh: '$number' is not a whole number" >&2
+        exit 2
+    fi
+done
+if [ "$minutes" -lt 1 ] || [ "$processes" -lt 6 ]; then
+    echo "soak.sh: --minutes must be at least 1 and --processes at least 6" >&2
+    exit 2
+fi
 build=${BUILD_DIR:-build}
 folder=${SOAK_DIR:-$build/soak}/$seed
 mkdir -p "$folder"
--- a/src/node/registrationthread.h
+++ b/src/node/registrationthread.h
@@ -10,7 +10,10 @@
 namespace rhubarblane
 {
 
-/** Runs a registration on a thread of its own, and ends it without blocking the process that still forwards packets. */
+/**
+ * Runs a registration on a thread of its own, and ends it without blocking the process that still forwards packets.
+ * All calls come from one thread, the event loop's.
+ */
 class RegistrationThread
 {
 public:
--- a/src/relay/agentpeers.cpp
+++ b/src/relay/agentpeers.cpp
@@ -14,8 +14,6 @@
 // With more balancers the interval of reports grows so that an agent sends at most this many a second: at 61 agents, a
 // balancer with 0.028 of a core spends a tenth of it on reports.
 constexpr std::int64_t ReportsPerSecond = 40;
-// As often as a lost first contact should delay a start without the store.
-constexpr Milliseconds SeedContactInterval(1000);
 
 } // namespace
 
@@ -69,7 +67,9 @@
     for (const PeerBook::Entry *balancer : book_.withRole(PeerRole::Balancer)) {
         output_.sendToPeer(balancer->peer.address, message);
     }
-    contactSeeds(now, message);
+    for (const PeerAddress &seed : seeds_.due(now, book_)) {
+        output_.sendToPeer(seed, message);
+    }
     nextReport_ = now + interval;
 }
 
@@ -88,24 +88,6 @@
     return std::clamp(spread, ShortestReportInterval, LongestReportInterval);
 }
 
-void AgentPeers::contactSeeds(Timestamp now, const wire::relay::Message &report)
-{
-    if (now < nextSeedContact_) {
-        return;
-    }
-    // Seeds may be stale, so they are asked as long as the agent runs, but rarely.
-    nextSeedContact_ = now + SeedContactInterval;
-    const std::vector<const PeerBook::Entry *> balancers = book_.withRole(PeerRole::Balancer);
-    for (const PeerAddress &seed : seeds_) {
-        const bool known = std::any_of(balancers.begin(), balancers.end(), [&seed](const PeerBook::Entry *entry) {
-            return entry->peer.address == seed;
-        });
-        if (!known) {
-            output_.sendToPeer(seed, report);
-        }
-    }
-}
-
 void AgentPeers::announceEnd(bool targetEnded)
 {
     wire::relay::Message message;
--- a/src/relay/agentpeers.h
+++ b/src/relay/agentpeers.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "relay/peerbook.h"
 #include "relay/relayoutput.h"
+#include "relay/seedcontacts.h"
 #include "wire/generated/relay.pb.h"
 
 #include <vector>
@@ -60,13 +61,11 @@
 private:
     /** Grows with the number of balancers. */
     Milliseconds reportInterval() const;
-    void contactSeeds(Timestamp now, const wire::relay::Message &report);
 
     PeerBook book_;
-    std::vector<PeerAddress> seeds_;
+    SeedContacts seeds_;
     RelayOutput &output_;
     Timestamp nextReport_;
-    Timestamp nextSeedContact_;
 };
 
 } // namespace rhubarblane
--- a/src/relay/balancerpeers.cpp
+++ b/src/relay/balancerpeers.cpp
@@ -22,11 +22,9 @@
 // repair what was lost, and four of them are two thirds of a greeting.
 constexpr std::size_t PeersPerLaterHello = 1;
 // Twice the time in which processes without the store learn of all others.
-constexpr Milliseconds LearningPeriod(20000);
+constexpr Milliseconds NamingPeriod(20000);
 // To a process that has just been heard for the first time.
 constexpr std::size_t PeersPerFirstHello = 24;
-// As often as a lost first contact should delay a start without the store.
-constexpr Milliseconds SeedContactInterval(1000);
 
 Milliseconds intervalFor(std::size_t receivers, Milliseconds shortest)
 {
@@ -86,9 +84,8 @@
         nextAgentHello_ = now + intervalFor(book_.withRole(PeerRole::Agent).size(), AgentHelloInterval);
         greetAll(now, PeerRole::Agent);
     }
-    if (now >= nextSeedContact_) {
-        nextSeedContact_ = now + SeedContactInterval;
-        contactSeeds(now);
+    for (const PeerAddress &seed : seeds_.due(now, book_)) {
+        output_.sendToPeer(seed, makeHello(now, PeersPerHello, PeerRole::Balancer));
     }
 }
 
@@ -118,26 +115,13 @@
 
 void BalancerPeers::greetAll(Timestamp now, PeerRole role)
 {
-    const bool learning = now - started_ < LearningPeriod;
-    const wire::relay::Message message = makeHello(now, learning ? PeersPerHello : PeersPerLaterHello, role);
+    const std::size_t namedPeers = now - started_ < NamingPeriod ? PeersPerHello : PeersPerLaterHello;
+    const wire::relay::Message message = makeHello(now, namedPeers, role);
     for (const PeerBook::Entry *entry : book_.withRole(role)) {
         output_.sendToPeer(entry->peer.address, message);
     }
 }
 
-void BalancerPeers::contactSeeds(Timestamp now)
-{
-    const std::vector<const PeerBook::Entry *> balancers = book_.withRole(PeerRole::Balancer);
-    for (const PeerAddress &seed : seeds_) {
-        const bool known = std::any_of(balancers.begin(), balancers.end(), [&](const PeerBook::Entry *entry) {
-            return entry->peer.address == seed;
-        });
-        if (!known && seed != book_.self().address) {
-            output_.sendToPeer(seed, makeHello(now, PeersPerHello, PeerRole::Balancer));
-        }
-    }
-}
-
 wire::relay::Message BalancerPeers::makeHello(Timestamp now, std::size_t namedPeers, PeerRole receiver)
 {
     wire::relay::Message message;
--- a/src/relay/balancerpeers.h
+++ b/src/relay/balancerpeers.h
@@ -5,6 +5,7 @@
 #include "relay/peerbook.h"
 #include "relay/relayoutput.h"
 #include "relay/relaytypes.h"
+#include "relay/seedcontacts.h"
 
 #include <cstddef>
 #include <string_view>
@@ -55,17 +56,15 @@
 private:
     void greet(Timestamp now, const Peer &peer, std::size_t namedPeers);
     void greetAll(Timestamp now, PeerRole role);
-    void contactSeeds(Timestamp now);
     wire::relay::Message makeHello(Timestamp now, std::size_t namedPeers, PeerRole receiver);
 
     Timestamp started_;
     PeerBook book_;
-    std::vector<PeerAddress> seeds_;
+    SeedContacts seeds_;
     RelayOutput &output_;
     TableVersion tableVersion_;
     Timestamp nextBalancerHello_;
     Timestamp nextAgentHello_;
-    Timestamp nextSeedContact_;
     /** Peers named so far; each greeting names the next ones. */
     std::size_t namedPeers_ = 0;
     std::size_t balancersHeard_ = 0;
--- /dev/null
+++ b/src/relay/seedcontacts.cpp
@@ -0,0 +1,41 @@
+#include "relay/seedcontacts.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace rhubarblane
+{
+
+namespace
+{
+
+// As often as a lost first contact should delay a start without the store. Seeds may be stale, so they are contacted as
+// long as the process runs.
+constexpr Milliseconds ContactInterval(1000);
+
+} // namespace
+
+SeedContacts::SeedContacts(std::vector<PeerAddress> seeds)
+    : seeds_(std::move(seeds))
+{
+}
+
+std::vector<PeerAddress> SeedContacts::due(Timestamp now, const PeerBook &book)
+{
+    std::vector<PeerAddress> result;
+    if (now < next_) {
+        return result;
+    }
+    next_ = now + ContactInterval;
+    const std::vector<const PeerBook::Entry *> balancers = book.withRole(PeerRole::Balancer);
+    std::copy_if(seeds_.begin(), seeds_.end(), std::back_inserter(result), [&](const PeerAddress &seed) {
+        const bool known = std::any_of(balancers.begin(), balancers.end(), [&seed](const PeerBook::Entry *entry) {
+            return entry->peer.address == seed;
+        });
+        return !known && seed != book.self().address;
+    });
+    return result;
+}
+
+} // namespace rhubarblane
--- a/src/tests/relaybalancertest.cpp
+++ b/src/tests/relaybalancertest.cpp
@@ -508,7 +508,7 @@
 }
 
 // Guards against greetings that fill the links of a large deployment with names that their receivers know or ignore.
-BOOST_AUTO_TEST_CASE(balancerNamesBalancersToAgentsAndOnePeerAfterLearningPeriod)
+BOOST_AUTO_TEST_CASE(balancerNamesBalancersToAgentsAndOnePeerAfterNamingPeriod)
 {
     const Peer middle = relayPeer("balancer-2", PeerRole::Balancer, 2);
     const Peer last = relayPeer("balancer-3", PeerRole::Balancer, 3);
