--- a/src/control/resourcedocument.cpp
+++ b/src/control/resourcedocument.cpp
@@ -4,6 +4,7 @@
 #include "model/fieldreader.h"
 #include "model/resourcecodec.h"
 #include "model/storedresource.h"
+#include "wire/jsontext.h"
 
 #include <cpprest/asyncrt_utils.h>
 
@@ -57,14 +58,14 @@
 
 Outcome<ResourceDocument> parseResourceDocument(ResourceKind kind, const std::string &name, const std::string &body)
 {
-    std::error_code failure;
     if (!isUtf8(body)) {
         return Error {ErrorCode::InvalidArgument, "body", "is not UTF-8"};
     }
-    const value json = value::parse(body, failure);
-    if (failure) {
-        return Error {ErrorCode::InvalidArgument, "body", "is not JSON: " + failure.message()};
+    const Outcome<value> parsed = parseJson(body);
+    if (!isOk(parsed)) {
+        return Error {ErrorCode::InvalidArgument, "body", "is not JSON: " + errorOf(parsed).message};
     }
+    const value &json = valueOf(parsed);
     if (!json.is_object()) {
         return Error {ErrorCode::InvalidArgument, "body", "must be a JSON object"};
     }
--- a/src/ctl/ctlclient.cpp
+++ b/src/ctl/ctlclient.cpp
@@ -1,6 +1,7 @@
 #include "ctl/ctlclient.h"
 
 #include "wire/connecterror.h"
+#include "wire/jsontext.h"
 
 #include <cpprest/http_client.h>
 
@@ -13,9 +14,12 @@
 
 std::string errorCodeOf(const CtlResponse &answer)
 {
-    std::error_code failure;
-    const web::json::value json = web::json::value::parse(answer.body, failure);
-    if (failure || !json.is_object() || !json.has_object_field("error") || !json.at("error").has_string_field("code")) {
+    const Outcome<web::json::value> parsed = parseJson(answer.body);
+    if (!isOk(parsed)) {
+        return {};
+    }
+    const web::json::value &json = valueOf(parsed);
+    if (!json.is_object() || !json.has_object_field("error") || !json.at("error").has_string_field("code")) {
         return {};
     }
     return json.at("error").at("code").as_string();
--- a/src/ctl/ctlcommand.cpp
+++ b/src/ctl/ctlcommand.cpp
@@ -1,6 +1,7 @@
 #include "ctl/ctlcommand.h"
 
 #include "model/configurationcheck.h"
+#include "wire/jsontext.h"
 
 #include <openssl/rand.h>
 
@@ -135,13 +136,12 @@
         exit = fail(errorOf(answer));
         return std::nullopt;
     }
-    std::error_code failure;
-    value json = value::parse(valueOf(answer).body, failure);
-    if (valueOf(answer).status != 200 || failure) {
+    Outcome<value> json = parseJson(valueOf(answer).body);
+    if (valueOf(answer).status != 200 || !isOk(json)) {
         exit = report(valueOf(answer));
         return std::nullopt;
     }
-    return json;
+    return takeValue(std::move(json));
 }
 
 CtlExit CtlCommand::write(CtlRequest request)
@@ -171,11 +171,11 @@
         }
         text << file.rdbuf();
     }
-    std::error_code failure;
-    const value json = value::parse(text.str(), failure);
-    if (failure) {
-        return Error {ErrorCode::InvalidArgument, "--file", "is not JSON: " + failure.message()};
+    const Outcome<value> parsed = parseJson(text.str());
+    if (!isOk(parsed)) {
+        return Error {ErrorCode::InvalidArgument, "--file", "is not JSON: " + errorOf(parsed).message};
     }
+    const value &json = valueOf(parsed);
     std::vector<value> documents {json};
     if (json.is_array()) {
         documents.assign(json.as_array().begin(), json.as_array().end());
@@ -237,7 +237,11 @@
             return fail(errorOf(current));
         }
         if (valueOf(current).status == 200) {
-            request.headers["If-Match"] = '"' + versionOf(value::parse(valueOf(current).body)) + '"';
+            const Outcome<value> stored = parseJson(valueOf(current).body);
+            if (!isOk(stored)) {
+                return fail(errorOf(stored));
+            }
+            request.headers["If-Match"] = '"' + versionOf(valueOf(stored)) + '"';
         } else if (valueOf(current).status == 404) {
             request.headers["If-None-Match"] = "*";
         } else {
--- a/src/daemon/configurationfile.cpp
+++ b/src/daemon/configurationfile.cpp
@@ -3,6 +3,7 @@
 #include "model/fieldreader.h"
 #include "model/resourcecodec.h"
 
+#include <exception>
 #include <fstream>
 #include <iterator>
 #include <limits>
@@ -44,7 +45,8 @@
     web::json::value json;
     try {
         json = web::json::value::parse(text);
-    } catch (const web::json::json_exception &exception) {
+    } catch (const std::exception &exception) {
+        // Escaped UTF-16 surrogates that do not match cause an exception of another type than json_exception.
         return Error {ErrorCode::InvalidArgument, {}, exception.what()};
     }
     FieldReader reader(json);
--- a/src/model/storedresource.cpp
+++ b/src/model/storedresource.cpp
@@ -1,6 +1,7 @@
 #include "model/storedresource.h"
 
 #include "model/fieldreader.h"
+#include "wire/jsontext.h"
 
 #include <algorithm>
 #include <limits>
@@ -20,12 +21,11 @@
 
 Outcome<StoredResource> parseStoredResource(const std::string &text)
 {
-    std::error_code error;
-    const value json = value::parse(text, error);
-    if (error) {
+    const Outcome<value> json = parseJson(text);
+    if (!isOk(json)) {
         return Error {ErrorCode::InvalidArgument, {}, "is not JSON"};
     }
-    FieldReader reader(json);
+    FieldReader reader(valueOf(json));
     StoredResource resource;
     resource.generation =
         static_cast<std::uint64_t>(reader.requiredInteger("generation", 1, std::numeric_limits<std::int64_t>::max()));
@@ -68,12 +68,11 @@
 RecordedWrites parseRecordedWrites(const std::string &text)
 {
     RecordedWrites result;
-    std::error_code error;
-    const value json = value::parse(text, error);
-    if (error || !json.is_object() || !json.has_array_field("writes")) {
+    const Outcome<value> parsed = parseJson(text);
+    if (!isOk(parsed) || !valueOf(parsed).is_object() || !valueOf(parsed).has_array_field("writes")) {
         return result;
     }
-    for (const value &entry : json.at("writes").as_array()) {
+    for (const value &entry : valueOf(parsed).at("writes").as_array()) {
         if (entry.is_object() && entry.has_string_field("key") && entry.has_string_field("token")) {
             result.writes.push_back({entry.at("token").as_string(), entry.at("key").as_string()});
         }
--- a/src/store/storecall.cpp
+++ b/src/store/storecall.cpp
@@ -1,6 +1,7 @@
 #include "store/storecall.h"
 
 #include "wire/connecterror.h"
+#include "wire/jsontext.h"
 
 #include <system_error>
 #include <utility>
@@ -33,8 +34,8 @@
             client->request(request, cancel.get_token()).then([client](const web::http::http_response &response) {
                 return response.extract_string(true).then([status = response.status_code()](const std::string &text) {
                     // Error responses may have any text as body, so a parse error is ignored; the status suffices.
-                    std::error_code unreadable;
-                    return StoreResponse {status, web::json::value::parse(text, unreadable)};
+                    const Outcome<web::json::value> body = parseJson(text);
+                    return StoreResponse {status, isOk(body) ? valueOf(body) : web::json::value()};
                 });
             });
         std::optional<StoreResponse> answer = waitForTask(task, timeout, cancel);
--- a/src/tests/configurationreadertest.cpp
+++ b/src/tests/configurationreadertest.cpp
@@ -124,6 +124,41 @@
     BOOST_TEST(core1.current()->configuration.drains.size() == 3U);
 }
 
+// Guards against an entry of another writer that ends the process or hides the changes after it.
+BOOST_AUTO_TEST_CASE(configurationReaderWithOddEntriesKeepsTheOthersAndFollowsLaterChanges)
+{
+    const std::string deep = std::string(10000, '[') + std::string(10000, ']');
+    const std::vector<std::string> oddValues {
+        R"({"generation":1,"spec":{"deadlineMs":"\ud800\u0041"}})",
+        R"({"generation":1,"spec":{"deadlineMs":1e999}})",
+        R"({"generation":1,"spec":{"deadlineMs":)" + std::string(400, '9') + "}}",
+        R"({"generation":-1,"spec":{}})",
+        R"({"generation":1,"spec":)" + deep + "}",
+        deep,
+        "\xff\xfe",
+        "",
+        R"({"generation":1,"spec":{"deadlineMs":")" + std::string(1 << 20, 'x') + "\"}}",
+    };
+    write();
+    const auto storeOddEntries = [&](const std::string &group) {
+        for (std::size_t i = 0; i < oddValues.size(); ++i) {
+            const std::string key = configurationKey(ResourceKind::Drain, group + std::to_string(i));
+            store.table.commit({{}, {{configurationVersionKey, "{}", {}}, {key, oddValues[i], {}}}});
+        }
+    };
+    storeOddEntries("first-read-");
+    step(reader1);
+    step(reader1);
+    BOOST_REQUIRE(reader1.isReader());
+    BOOST_TEST(core1.current()->configuration.drains.size() == 1U);
+    storeOddEntries("change-");
+    step(reader1);
+    const Revision last = write();
+    step(reader1);
+    BOOST_TEST((core1.current()->snapshot.revision == last));
+    BOOST_TEST(core1.current()->configuration.drains.size() == 2U);
+}
+
 // Guards against a change without the version key that is never applied, or that stops the reader.
 BOOST_AUTO_TEST_CASE(configurationReaderAfterChangeWithoutVersionKeyAppliesTheNextWrite)
 {
