Reject peers with an impossible name, address, port or start time

Cause: a peer's port was truncated to 16 bits, so that an entry with port 73256 named the process at port 7720; port 0, address 0, names of any length and start times that no process can follow were accepted from store entries and messages.

Change: peerFromWire() returns nothing for such a peer. Store entries are logged as unreadable, messages count as malformed; the others hold.

Before: a peer with each of these was used. After: peerdirectorytest and registrationWithOddEntriesReadsTheOthersAndFollowsLaterOnes pass.

--- a/src/node/peerregistration.cpp
+++ b/src/node/peerregistration.cpp
@@ -27,11 +27,13 @@
     std::vector<Peer> peers;
     for (const StoredValue &value : range.values) {
         wire::relay::Peer encoded;
-        if (!encoded.ParseFromString(value.value) || peerEntryPrefix + encoded.name() != value.key) {
+        const bool parsed = encoded.ParseFromString(value.value) && peerEntryPrefix + encoded.name() == value.key;
+        const std::optional<Peer> peer = parsed ? peerFromWire(encoded) : std::nullopt;
+        if (!peer) {
             onLog("peerEntryUnreadable", value.key);
             continue;
         }
-        peers.push_back(fromWire(encoded));
+        peers.push_back(*peer);
     }
     return peers;
 }
--- a/src/relay/peerdirectory.cpp
+++ b/src/relay/peerdirectory.cpp
@@ -15,6 +15,12 @@
 // An incarnation lower than the known one is accepted after the peer has sent no message for this time, since the clock
 // of a VM can be set back between two starts.
 constexpr Milliseconds EarlierStartTimeout(2000);
+// Keys of the store, which end with the name, have at most 200 bytes.
+constexpr std::size_t MaximumNameBytes = 200;
+constexpr std::uint32_t FirstMulticastAddress = 0xe0000000;
+constexpr std::uint32_t MaximumPort = 65535;
+// Unix milliseconds, in the year 2286. No real process could replace an entry with a later start time.
+constexpr std::uint64_t LatestIncarnation = 9999999999999;
 
 } // namespace
 
@@ -30,13 +36,20 @@
     return result;
 }
 
-Peer fromWire(const wire::relay::Peer &encoded)
+std::optional<Peer> peerFromWire(const wire::relay::Peer &encoded)
 {
-    return {encoded.name(),
-            encoded.agent() ? PeerRole::Agent : PeerRole::Balancer,
-            encoded.availability_zone(),
-            {encoded.address(), static_cast<std::uint16_t>(encoded.port())},
-            encoded.incarnation()};
+    const bool textsFit = !encoded.name().empty() && encoded.name().size() <= MaximumNameBytes
+        && encoded.availability_zone().size() <= MaximumNameBytes;
+    const bool addressFits = encoded.address() != 0 && encoded.address() < FirstMulticastAddress && encoded.port() != 0
+        && encoded.port() <= MaximumPort;
+    if (!textsFit || !addressFits || encoded.incarnation() > LatestIncarnation) {
+        return std::nullopt;
+    }
+    return Peer {encoded.name(),
+                 encoded.agent() ? PeerRole::Agent : PeerRole::Balancer,
+                 encoded.availability_zone(),
+                 {encoded.address(), static_cast<std::uint16_t>(encoded.port())},
+                 encoded.incarnation()};
 }
 
 PeerDirectory::PeerDirectory(Peer self)
--- a/src/relay/peerdirectory.h
+++ b/src/relay/peerdirectory.h
@@ -36,7 +36,12 @@
 };
 
 wire::relay::Peer toWire(const Peer &peer);
-Peer fromWire(const wire::relay::Peer &encoded);
+
+/**
+ * Decodes a peer from a message or a store entry. Returns nullopt if another writer made it: without a name, with a
+ * text or number out of range, or with an address that no process can have.
+ */
+std::optional<Peer> peerFromWire(const wire::relay::Peer &encoded);
 
 /** The other processes of the deployment, as learned from the store and from messages. */
 class PeerDirectory
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -60,11 +60,12 @@
 
 void RelayAgent::handleHello(Timestamp now, const PeerAddress &from, const wire::relay::Hello &hello)
 {
-    const Peer sender = fromWire(hello.sender());
-    if (sender.address != from || sender.name.empty()) {
+    const std::optional<Peer> peer = peerFromWire(hello.sender());
+    if (!peer || peer->address != from) {
         ++counters_.malformed;
         return;
     }
+    const Peer &sender = *peer;
     if (hello.leaving()) {
         peers_.remove(sender);
         return;
@@ -72,8 +73,12 @@
     if (sender.role == PeerRole::Balancer && peers_.recordContact(now, sender)) {
         peers_.sendReportTo(sender, makeReport(now));
     }
-    for (const wire::relay::Peer &peer : hello.peers()) {
-        peers_.recordMention(now, fromWire(peer));
+    for (const wire::relay::Peer &listed : hello.peers()) {
+        if (const std::optional<Peer> other = peerFromWire(listed)) {
+            peers_.recordMention(now, *other);
+        } else {
+            ++counters_.malformed;
+        }
     }
 }
 
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -103,32 +103,33 @@
 
 void RelayBalancer::handleReport(Timestamp now, const PeerAddress &from, const wire::relay::Report &report)
 {
-    const Peer agent = fromWire(report.agent());
-    if (agent.address != from || agent.name.empty() || agent.role != PeerRole::Agent) {
+    const std::optional<Peer> agent = peerFromWire(report.agent());
+    if (!agent || agent->address != from || agent->role != PeerRole::Agent) {
         ++context_.counters.malformed;
         return;
     }
-    if (!context_.peers.recordContact(now, agent)) {
+    if (!context_.peers.recordContact(now, *agent)) {
         return;
     }
-    if (context_.targets.report(now, agent, report)) {
+    if (context_.targets.report(now, *agent, report)) {
         const KnownTarget *target = context_.targets.find(from);
         context_.output.logDecision("targetKnown",
-                                    {{"agent", agent.name},
+                                    {{"agent", agent->name},
                                      {"group", report.group()},
                                      {"state", nameOf(target->state)},
-                                     {"incarnation", std::to_string(agent.incarnation)},
+                                     {"incarnation", std::to_string(agent->incarnation)},
                                      {"sequence", std::to_string(report.load().sequence())}});
     }
 }
 
 void RelayBalancer::handleHello(Timestamp now, const PeerAddress &from, const wire::relay::Hello &hello)
 {
-    const Peer sender = fromWire(hello.sender());
-    if (sender.address != from || sender.name.empty()) {
+    const std::optional<Peer> peer = peerFromWire(hello.sender());
+    if (!peer || peer->address != from) {
         ++context_.counters.malformed;
         return;
     }
+    const Peer &sender = *peer;
     if (hello.leaving()) {
         // An agent whose target still runs is restarted; until then its flows are not lost.
         if (sender.role == PeerRole::Balancer || hello.target_ended()) {
@@ -144,8 +145,12 @@
     if (!context_.peers.recordContact(now, sender)) {
         return;
     }
-    for (const wire::relay::Peer &peer : hello.peers()) {
-        context_.peers.recordMention(now, fromWire(peer), "hello");
+    for (const wire::relay::Peer &listed : hello.peers()) {
+        if (const std::optional<Peer> other = peerFromWire(listed)) {
+            context_.peers.recordMention(now, *other, "hello");
+        } else {
+            ++context_.counters.malformed;
+        }
     }
     const TableVersion peerVersion(hello.table_version());
     const TableVersion ownVersion = context_.table ? context_.table->version : TableVersion();
--- a/src/tests/peerregistrationtest.cpp
+++ b/src/tests/peerregistrationtest.cpp
@@ -63,6 +63,29 @@
     BOOST_TEST((std::find(events.begin(), events.end(), "peerEntryUnreadable") != events.end()));
 }
 
+// Guards against an odd entry of another writer that is used, or that hides the other entries.
+BOOST_AUTO_TEST_CASE(registrationWithOddEntriesReadsTheOthersAndFollowsLaterOnes)
+{
+    const Peer other {"balancer-1", PeerRole::Balancer, "b", {0x0a000002, 7720}, 900};
+    wire::relay::Peer odd = toWire(other);
+    odd.set_name("odd-port");
+    odd.set_port(65536 + 7720);
+    store.table.commit({{}, {{"rhubarblane/peers/odd-port", odd.SerializeAsString(), LeaseId()}}});
+    odd = toWire(other);
+    odd.set_name("odd-start");
+    odd.set_incarnation(~0ULL);
+    store.table.commit({{}, {{"rhubarblane/peers/odd-start", odd.SerializeAsString(), LeaseId()}}});
+    store.table.commit({{}, {{"rhubarblane/peers/other-name", toWire(other).SerializeAsString(), LeaseId()}}});
+    store.table.commit({{}, {{"rhubarblane/peers/", std::string(1 << 20, '['), LeaseId()}}});
+    runUntil(1010);
+    BOOST_TEST(isStored());
+    BOOST_TEST(named.size() == 1u);
+    store.table.commit({{}, {{"rhubarblane/peers/balancer-1", toWire(other).SerializeAsString(), LeaseId()}}});
+    runUntil(7000);
+    BOOST_TEST(named.size() == 2u);
+    BOOST_TEST(std::count(events.begin(), events.end(), "peerEntryUnreadable") == 8);
+}
+
 // Guards against a lease that expires while the process is alive.
 BOOST_AUTO_TEST_CASE(registrationRenewsLease)
 {
