Send the hello messages of balancers to a bounded part of the fleet

Cause: every balancer sent its hello to all balancers and all agents, up to 100 a second each.

Change: a hello goes to 16 to 50 balancers in turn, in an order that differs between balancers. Agents get one every 2 to 5 s. A peer that restarts gets a hello of its own, since it would wait for its turn otherwise.

Before: fleetOfAnySizeSendsBoundedHellosPerBalancer fails, 60 balancers send 100 hello messages a second each. After: 32; with 300 balancers one reader's table reaches all within 2 s, also with a tenth of the messages lost (relayfleettest).

--- a/src/relay/balancerpeers.cpp
+++ b/src/relay/balancerpeers.cpp
@@ -15,9 +15,18 @@
 constexpr Milliseconds BalancerHelloInterval(500);
 // Half of the time after which a peer no longer counts as recently active.
 constexpr Milliseconds AgentHelloInterval(2000);
-// Upper bound on the hello messages that a balancer sends per second to the peers of one role; with more peers the
-// interval grows.
-constexpr std::int64_t HellosPerSecond = 100;
+// A third of the time for which a peer without messages is kept.
+constexpr Milliseconds MaximumAgentHelloInterval(5000);
+// Hello messages to agents per second, below the maximum interval.
+constexpr std::int64_t AgentHellosPerSecond = 50;
+// Receivers of the hello messages of one interval. Balancers that learn of a newer table notify as many in turn, so
+// that it reaches 300 balancers in three hops.
+constexpr std::size_t MinimumHelloFanout = 16;
+// Bounds the messages per second to 100 for each balancer.
+constexpr std::size_t MaximumHelloFanout = 50;
+// With 16 to 50 receivers in an interval of 500 ms, each balancer gets a hello message within the 4 s for which it
+// counts the sender as active.
+constexpr std::size_t HelloIntervalsPerRound = 6;
 // Keeps hello messages at about 300 bytes: 84 messages of 1,300 bytes at once occupied a link of 10 Mbit/s for 90 ms.
 constexpr std::size_t PeersPerHello = 4;
 // New processes learn of the others from the store and from first hello messages. After the startup period the listed
@@ -28,9 +37,17 @@
 // For the hello message to a process whose first message has just arrived.
 constexpr std::size_t PeersPerFirstHello = 24;
 
-Milliseconds intervalFor(std::size_t receivers, Milliseconds shortest)
+Milliseconds agentHelloInterval(std::size_t agents)
 {
-    return std::max(shortest, Milliseconds(static_cast<std::int64_t>(receivers) * 1000 / HellosPerSecond));
+    return std::clamp(Milliseconds(static_cast<std::int64_t>(agents) * 1000 / AgentHellosPerSecond),
+                      AgentHelloInterval,
+                      MaximumAgentHelloInterval);
+}
+
+std::size_t helloFanout(std::size_t balancers)
+{
+    return std::clamp(
+        (balancers + HelloIntervalsPerRound - 1) / HelloIntervalsPerRound, MinimumHelloFanout, MaximumHelloFanout);
 }
 
 } // namespace
@@ -40,6 +57,7 @@
     , directory_(std::move(self))
     , seeds_(std::move(seeds))
     , output_(output)
+    , balancerRotation_(directory_.self().id().value() ^ directory_.self().incarnation)
 {
 }
 
@@ -51,13 +69,18 @@
 
 bool BalancerPeers::recordContact(Timestamp now, const Peer &peer)
 {
-    const bool unknown = directory_.find(peer.id()) == nullptr;
+    const PeerDirectory::Entry *known = directory_.find(peer.id());
+    const bool unknown = known == nullptr;
+    const bool restarted = !unknown && known->peer.incarnation != peer.incarnation;
     if (!directory_.recordContact(now, peer)) {
         return false;
     }
     if (unknown) {
         output_.logDecision("peerFound", {{"peer", peer.name}, {"from", "message"}});
         sendHello(now, peer, PeersPerFirstHello);
+    } else if (restarted) {
+        // The periodic hello messages reach the new process later, one part of the fleet at a time.
+        sendHello(now, peer, PeersPerHello);
     }
     return true;
 }
@@ -79,12 +102,14 @@
 void BalancerPeers::onTick(Timestamp now)
 {
     if (now >= nextBalancerHello_) {
-        nextBalancerHello_ = now + intervalFor(directory_.withRole(PeerRole::Balancer).size(), BalancerHelloInterval);
-        sendHelloToAll(now, PeerRole::Balancer);
+        nextBalancerHello_ = now + BalancerHelloInterval;
+        const std::size_t fanout = helloFanout(directory_.withRole(PeerRole::Balancer).size());
+        sendHellos(now, PeerRole::Balancer, balancerRotation_.next(directory_, PeerRole::Balancer, fanout));
     }
     if (now >= nextAgentHello_) {
-        nextAgentHello_ = now + intervalFor(directory_.withRole(PeerRole::Agent).size(), AgentHelloInterval);
-        sendHelloToAll(now, PeerRole::Agent);
+        const std::vector<const PeerDirectory::Entry *> agents = directory_.withRole(PeerRole::Agent);
+        nextAgentHello_ = now + agentHelloInterval(agents.size());
+        sendHellos(now, PeerRole::Agent, agents);
     }
     for (const PeerAddress &seed : seeds_.due(now, directory_)) {
         output_.sendToPeer(seed, makeHello(now, PeersPerHello, PeerRole::Balancer));
@@ -106,8 +131,9 @@
 void BalancerPeers::announceLeave(Timestamp now)
 {
     leaving_ = true;
-    sendHelloToAll(now, PeerRole::Balancer);
-    sendHelloToAll(now, PeerRole::Agent);
+    for (const PeerRole role : {PeerRole::Balancer, PeerRole::Agent}) {
+        sendHellos(now, role, directory_.withRole(role));
+    }
 }
 
 void BalancerPeers::sendHello(Timestamp now, const Peer &peer, std::size_t peerLimit)
@@ -115,11 +141,11 @@
     output_.sendToPeer(peer.address, makeHello(now, peerLimit, peer.role));
 }
 
-void BalancerPeers::sendHelloToAll(Timestamp now, PeerRole role)
+void BalancerPeers::sendHellos(Timestamp now, PeerRole role, const std::vector<const PeerDirectory::Entry *> &receivers)
 {
     const std::size_t peerLimit = now - started_ < StartupPeriod ? PeersPerHello : PeersPerLaterHello;
     const wire::relay::Message message = makeHello(now, peerLimit, role);
-    for (const PeerDirectory::Entry *entry : directory_.withRole(role)) {
+    for (const PeerDirectory::Entry *entry : receivers) {
         output_.sendToPeer(entry->peer.address, message);
     }
 }
--- a/src/relay/balancerpeers.h
+++ b/src/relay/balancerpeers.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "relay/peerdirectory.h"
+#include "relay/peerrotation.h"
 #include "relay/relayoutput.h"
 #include "relay/relaytypes.h"
 #include "relay/seedcontacts.h"
@@ -26,12 +27,15 @@
         return directory_;
     }
 
-    /** Sets the table version that hello messages announce. Balancers are notified immediately. */
+    /**
+     * Sets the table version that hello messages announce. A part of the balancers is notified immediately; each of
+     * them fetches the table and notifies others.
+     */
     void setTableVersion(Timestamp now, TableVersion version);
 
     /**
-     * Records a message from the peer itself and sends a hello to a new peer. Returns false for a message of an earlier
-     * incarnation.
+     * Records a message from the peer itself and sends a hello to a new peer or a new incarnation. Returns false for a
+     * message of an earlier incarnation.
      */
     bool recordContact(Timestamp now, const Peer &peer);
 
@@ -58,13 +62,14 @@
 
 private:
     void sendHello(Timestamp now, const Peer &peer, std::size_t peerLimit);
-    void sendHelloToAll(Timestamp now, PeerRole role);
+    void sendHellos(Timestamp now, PeerRole role, const std::vector<const PeerDirectory::Entry *> &receivers);
     wire::relay::Message makeHello(Timestamp now, std::size_t peerLimit, PeerRole receiver);
 
     Timestamp started_;
     PeerDirectory directory_;
     SeedContacts seeds_;
     RelayOutput &output_;
+    PeerRotation balancerRotation_;
     TableVersion tableVersion_;
     Timestamp nextBalancerHello_;
     Timestamp nextAgentHello_;
