Report to balancers of other availability zones every 2 s in large fleets

Cause: with more than 40 balancers, reports reach the longest interval of 1 s and then grow with the number of balancers: 94 a second from each agent in a fleet of 300 VMs, five sixths of them to other availability zones, whose balancers prefer the targets of their own.

Change: above 40 balancers, those of other availability zones get every second report, and a silent agent counts as lost after four intervals, at least 5 s. Changes of state still go to all at once. Up to 40 balancers nothing changes.

--- a/src/relay/agentpeers.cpp
+++ b/src/relay/agentpeers.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-// Upper bound on the reports that an agent sends per second; with more balancers the report interval grows. With 61
-// agents, a balancer with 0.028 of a core spends a tenth of it on reports.
+// Reports that an agent sends per second, within the limits of the report intervals; with more balancers the intervals
+// grow. With 61 agents, a balancer with 0.028 of a core spends a tenth of it on reports.
 constexpr std::int64_t ReportsPerSecond = 40;
 
 } // namespace
@@ -60,34 +60,52 @@
 
 void AgentPeers::sendReport(Timestamp now, wire::relay::Report report)
 {
-    const Milliseconds interval = reportInterval();
-    report.set_interval_ms(static_cast<std::uint32_t>(interval.count()));
+    const Milliseconds interval = reportInterval(true);
+    const Milliseconds otherZoneInterval = reportInterval(false);
+    const bool otherZonesDue = now >= nextOtherZoneReport_;
     wire::relay::Message message;
     *message.mutable_report() = std::move(report);
     for (const PeerDirectory::Entry *balancer : directory_.withRole(PeerRole::Balancer)) {
-        output_.sendToPeer(balancer->peer.address, message);
+        const bool sameZone = isInSameZone(balancer->peer);
+        if (sameZone || otherZonesDue) {
+            const Milliseconds announced = sameZone ? interval : otherZoneInterval;
+            message.mutable_report()->set_interval_ms(static_cast<std::uint32_t>(announced.count()));
+            output_.sendToPeer(balancer->peer.address, message);
+        }
     }
     for (const PeerAddress &seed : seeds_.due(now, directory_)) {
         output_.sendToPeer(seed, message);
     }
+    if (otherZonesDue) {
+        nextOtherZoneReport_ = now + otherZoneInterval;
+    }
     nextReport_ = now + interval;
 }
 
 void AgentPeers::sendReportTo(const Peer &balancer, wire::relay::Report report)
 {
-    report.set_interval_ms(static_cast<std::uint32_t>(reportInterval().count()));
+    report.set_interval_ms(static_cast<std::uint32_t>(reportInterval(isInSameZone(balancer)).count()));
     wire::relay::Message message;
     *message.mutable_report() = std::move(report);
     output_.sendToPeer(balancer.address, message);
 }
 
-Milliseconds AgentPeers::reportInterval() const
+Milliseconds AgentPeers::reportInterval(bool sameZone) const
 {
     const Milliseconds spread(static_cast<std::int64_t>(directory_.withRole(PeerRole::Balancer).size()) * 1000
                               / ReportsPerSecond);
+    if (spread > LongestReportInterval && !sameZone) {
+        // Reports to other availability zones accompany every second one to the own availability zone.
+        return LongestOtherZoneReportInterval;
+    }
     return std::clamp(spread, ShortestReportInterval, LongestReportInterval);
 }
 
+bool AgentPeers::isInSameZone(const Peer &balancer) const
+{
+    return balancer.availabilityZone == directory_.self().availabilityZone;
+}
+
 void AgentPeers::announceLeave(bool targetEnded)
 {
     wire::relay::Message message;
--- a/src/relay/agentpeers.h
+++ b/src/relay/agentpeers.h
@@ -35,10 +35,11 @@
 
     void remove(const Peer &peer);
 
-    /** Makes the next report due immediately. */
+    /** Makes the next report to all balancers due immediately. */
     void requestReport(Timestamp now)
     {
         nextReport_ = now;
+        nextOtherZoneReport_ = now;
     }
 
     bool isReportDue(Timestamp now) const
@@ -46,7 +47,10 @@
         return now >= nextReport_;
     }
 
-    /** Sends a report to all balancers, and at the seeds' contact interval to seeds that are not known as balancers. */
+    /**
+     * Sends a report to the balancers that are due: those in the own availability zone each time, the others possibly
+     * less often. Seeds that are not known as balancers get it at their contact interval.
+     */
     void sendReport(Timestamp now, wire::relay::Report report);
 
     /** Sends a report to one balancer, in addition to the periodic ones. */
@@ -59,13 +63,18 @@
     void expire(Timestamp now);
 
 private:
-    /** Returns the interval between reports, which grows with the number of balancers. */
-    Milliseconds reportInterval() const;
+    /**
+     * Returns the interval between reports to a balancer. It grows with the number of balancers, further for those in
+     * other availability zones.
+     */
+    Milliseconds reportInterval(bool sameZone) const;
+    bool isInSameZone(const Peer &balancer) const;
 
     PeerDirectory directory_;
     SeedContacts seeds_;
     RelayOutput &output_;
     Timestamp nextReport_;
+    Timestamp nextOtherZoneReport_;
 };
 
 } // namespace rhubarblane
--- a/src/relay/relaybalancercontext.cpp
+++ b/src/relay/relaybalancercontext.cpp
@@ -1,5 +1,8 @@
 #include "relay/relaybalancercontext.h"
 
+#include "relay/reportinterval.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace rhubarblane
@@ -8,7 +11,7 @@
 namespace
 {
 
-// An agent that sends no message for this long has ended or its VM is unreachable; callers have given up long before.
+// An agent that sends no message for this long has ended or its VM is unreachable; most callers have given up before.
 constexpr Milliseconds AgentTimeout(5000);
 
 } // namespace
@@ -47,7 +50,8 @@
 
 bool RelayBalancerContext::isSilent(Timestamp now, const KnownTarget &target) const
 {
-    return pauses.observedSilence(now, target.lastContact) >= AgentTimeout;
+    const Milliseconds timeout = std::max(AgentTimeout, target.reportInterval * MissedReports);
+    return pauses.observedSilence(now, target.lastContact) >= timeout;
 }
 
 } // namespace rhubarblane
--- a/src/relay/targetdirectory.cpp
+++ b/src/relay/targetdirectory.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-// A target is unusable after four report intervals without a message. At 1% loss, three consecutive datagrams are lost
-// once in a million.
-constexpr int MissedReports = 4;
 // Longer than the restart of an agent, during which its target keeps its flows.
 constexpr Milliseconds Retention(15000);
 
@@ -53,7 +50,7 @@
     target.agent = agent;
     target.sameZone = agent.availabilityZone == availabilityZone_;
     target.reportInterval =
-        std::clamp(Milliseconds(report.interval_ms()), ShortestReportInterval, LongestReportInterval);
+        std::clamp(Milliseconds(report.interval_ms()), ShortestReportInterval, LongestOtherZoneReportInterval);
     apply(now, target, report.load());
     return inserted || replaced || before != target.state;
 }
