Let an unfinished table of peers expire in the assembler

Cause: the assembler ignored all parts with a lower version than the one it was assembling. One malformed part with a high version, never completed, made a balancer without the store deaf to every later table of its peers. Ports of services were truncated to 16 bits.

Change: without a new part for 1 s, the unfinished table gives way to any version. A part with a port out of range is malformed as a whole, so no table is applied without one of its services.

Before: assemblerWithVersionThatIsNeverCompletedTakesLowerOneLater and three checks of assemblerWithMalformedPartsIgnoresThem fail. After: all pass.

--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -91,7 +91,7 @@
         handleTableRequest(from, message.table_request());
         break;
     case wire::relay::Message::kTablePart:
-        if (std::optional<ServiceTable> table = assembler_.add(message.table_part())) {
+        if (std::optional<ServiceTable> table = assembler_.add(now, message.table_part())) {
             ++context_.counters.tablesFromPeers;
             onTable(now, std::move(*table), "peer");
         }
--- a/src/relay/servicetable.cpp
+++ b/src/relay/servicetable.cpp
@@ -17,6 +17,18 @@
 // A table of the design size has 11,000 services (1,375 parts); messages with more than this many parts are malformed.
 constexpr std::uint32_t MaximumParts = 4096;
 
+// A peer sends all parts at once, and they are requested again after 100 ms.
+constexpr Milliseconds AssemblyTimeout(1000);
+constexpr std::uint32_t MaximumPort = 65535;
+
+bool isWellFormed(const wire::relay::TablePart &part)
+{
+    return part.parts() > 0 && part.parts() <= MaximumParts && part.part() < part.parts()
+        && std::all_of(part.services().begin(), part.services().end(), [](const wire::relay::Service &service) {
+               return service.port() > 0 && service.port() <= MaximumPort;
+           });
+}
+
 wire::relay::Service encode(const RelayedService &service)
 {
     wire::relay::Service result;
@@ -117,10 +129,14 @@
     return parts;
 }
 
-std::optional<ServiceTable> TableAssembler::add(const wire::relay::TablePart &part)
+std::optional<ServiceTable> TableAssembler::add(Timestamp now, const wire::relay::TablePart &part)
 {
+    if (!isWellFormed(part)) {
+        return std::nullopt;
+    }
     const TableVersion version(part.version());
-    if (version < version_ || part.parts() == 0 || part.parts() > MaximumParts || part.part() >= part.parts()) {
+    const bool abandoned = !received_.empty() && now - lastNewPart_ >= AssemblyTimeout;
+    if (version < version_ && !abandoned) {
         return std::nullopt;
     }
     if (version != version_ || part.parts() != parts_) {
@@ -128,7 +144,9 @@
         parts_ = part.parts();
         received_.clear();
     }
-    received_[part.part()] = part;
+    if (received_.insert_or_assign(part.part(), part).second) {
+        lastNewPart_ = now;
+    }
     if (received_.size() < parts_) {
         return std::nullopt;
     }
--- a/src/relay/servicetable.h
+++ b/src/relay/servicetable.h
@@ -63,12 +63,16 @@
 class TableAssembler
 {
 public:
-    /** Returns the table once its last part has arrived. Malformed parts and those of older versions are ignored. */
-    std::optional<ServiceTable> add(const wire::relay::TablePart &part);
+    /**
+     * Returns the table once its last part has arrived. Malformed parts are ignored, and so are those of older versions
+     * while new parts of the newest one keep arriving.
+     */
+    std::optional<ServiceTable> add(Timestamp now, const wire::relay::TablePart &part);
 
 private:
     TableVersion version_;
     std::uint32_t parts_ = 0;
+    Timestamp lastNewPart_;
     std::map<std::uint32_t, wire::relay::TablePart> received_;
 };
 
--- a/src/tests/servicetabletest.cpp
+++ b/src/tests/servicetabletest.cpp
@@ -28,6 +28,7 @@
         return result;
     }
 
+    Timestamp now {1000};
     TableAssembler assembler;
 };
 
@@ -45,7 +46,7 @@
     std::optional<ServiceTable> result;
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
         BOOST_TEST(!result.has_value());
-        result = assembler.add(parts[i]);
+        result = assembler.add(now, parts[i]);
     }
     BOOST_REQUIRE(result.has_value());
     BOOST_TEST(result->services.size() == 30u);
@@ -60,10 +61,10 @@
     const std::vector<wire::relay::TablePart> older = splitTable(table(7, 16));
     const std::vector<wire::relay::TablePart> newer = splitTable(table(8, 16));
     BOOST_REQUIRE(older.size() == 2u);
-    BOOST_TEST(!assembler.add(older[0]).has_value());
-    BOOST_TEST(!assembler.add(newer[1]).has_value());
-    BOOST_TEST(!assembler.add(older[1]).has_value());
-    const std::optional<ServiceTable> result = assembler.add(newer[0]);
+    BOOST_TEST(!assembler.add(now, older[0]).has_value());
+    BOOST_TEST(!assembler.add(now, newer[1]).has_value());
+    BOOST_TEST(!assembler.add(now, older[1]).has_value());
+    const std::optional<ServiceTable> result = assembler.add(now, newer[0]);
     BOOST_REQUIRE(result.has_value());
     BOOST_TEST(result->version.value() == 8u);
 }
@@ -73,12 +74,31 @@
 {
     wire::relay::TablePart part = splitTable(table(7, 4)).front();
     part.set_parts(0);
-    BOOST_TEST(!assembler.add(part).has_value());
+    BOOST_TEST(!assembler.add(now, part).has_value());
     part.set_parts(1);
     part.set_part(5);
-    BOOST_TEST(!assembler.add(part).has_value());
+    BOOST_TEST(!assembler.add(now, part).has_value());
     part.set_parts(0xffffffff);
-    BOOST_TEST(!assembler.add(part).has_value());
+    BOOST_TEST(!assembler.add(now, part).has_value());
+    for (const std::uint32_t port : {0U, 65536U, 65537U}) {
+        part = splitTable(table(7, 1)).front();
+        part.mutable_services(0)->set_port(port);
+        BOOST_TEST(!assembler.add(now, part).has_value());
+    }
+}
+
+// Guards against one malformed datagram that blocks every table of the peers from then on.
+BOOST_AUTO_TEST_CASE(assemblerWithVersionThatIsNeverCompletedTakesLowerOneLater)
+{
+    wire::relay::TablePart malformed = splitTable(table(7, 16)).front();
+    malformed.set_version(~0ULL);
+    BOOST_TEST(!assembler.add(now, malformed).has_value());
+    const std::vector<wire::relay::TablePart> parts = splitTable(table(8, 16));
+    now = now + Milliseconds(2000);
+    BOOST_TEST(!assembler.add(now, parts[0]).has_value());
+    const std::optional<ServiceTable> result = assembler.add(now, parts[1]);
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(result->version.value() == 8u);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
