--- a/src/relay/peerrotation.cpp
+++ b/src/relay/peerrotation.cpp
@@ -16,7 +16,7 @@
 std::vector<const PeerDirectory::Entry *>
 PeerRotation::next(const PeerDirectory &directory, PeerRole role, std::size_t count)
 {
-    const std::vector<const PeerDirectory::Entry *> all = directory.withRole(role);
+    std::vector<const PeerDirectory::Entry *> all = directory.withRole(role);
     if (all.size() <= count) {
         return all;
     }
--- a/src/tests/agentpeerstest.cpp
+++ b/src/tests/agentpeerstest.cpp
@@ -52,8 +52,8 @@
     TargetDirectory otherZone("zone-3");
     const PeerAddress own = balancers[0].address;
     const PeerAddress other = balancers[2].address;
-    constexpr int Seconds = 20;
-    for (int step = 0; step < Seconds * 1000 / Tick.count(); ++step) {
+    constexpr std::int64_t Seconds = 20;
+    for (std::int64_t step = 0; step < Seconds * 1000 / Tick.count(); ++step) {
         now = now + Tick;
         if (step % 50 == 0) {
             agent.onTargetReport(now, {"i-1", "desk", 2, static_cast<std::uint64_t>(2 + step), 1000, false});
@@ -75,7 +75,7 @@
     }
     BOOST_TEST(reports[own] >= Seconds - 1);
     BOOST_TEST(reports[other] >= Seconds / 2 - 1);
-    int sent = 0;
+    std::int64_t sent = 0;
     for (const auto &[to, count] : reports) {
         sent += count;
     }
