Compare the table with the store over new connections

Cause: a silent watch was noticed only when it timed out, after 1.25 s for each balancer (15 s with 12), on the assumption that the watches of the fleet begin at different times. A change ends the watches of all balancers in the same millisecond, so no balancer opened a connection for three quarters of the timeout.

Evidence: tableInForce of the version before has the same time at all 12 balancers; after the silence the first balancer has the new version from the store 7 s late, and the others have it from that one within 0.1 s.

Fix: balancers compare the table with the store about once a second for the whole fleet, each time over a new connection. Hello messages carry the last comparison; a balancer that knows of none in the last 0.8 to 1.6 s makes its own, so the bound depends neither on the number of balancers nor on when their watches began. tableInForce, tableCheckFailed and the metrics table_check* show how old the last comparison is.

--- a/src/node/balancernode.cpp
+++ b/src/node/balancernode.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds ShutdownDelay(1600);
 // Step interval of a thread that has no work left.
 constexpr Milliseconds IdleInterval(1000);
+// Wait of a thread that works on request only.
+constexpr Milliseconds UntilWoken(3600000);
 
 void logStoreEvent(const std::string &event, const std::string &detail)
 {
@@ -77,8 +79,8 @@
     }
     loop_.onTick([this](Timestamp now) { tick(now); });
     loop_.onTerminate([this] { terminate(); });
-    watcherThread_ = std::make_unique<WorkerThread>(
-        [this] { return shuttingDown_ ? IdleInterval : watcher_.step(activeBalancers_ + 1); });
+    watcherThread_ = std::make_unique<WorkerThread>([this] { return shuttingDown_ ? IdleInterval : watcher_.step(); });
+    checkThread_ = std::make_unique<WorkerThread>([this] { return checkTable(); });
     registrationThread_ = std::make_unique<RegistrationThread>(registration_, loop_.clock());
     return std::nullopt;
 }
@@ -88,7 +90,10 @@
     sockets_.receiveMessages();
     core_.onTick(now, sockets_.messagesReadUntil());
     ready_ = core_.isReady();
-    activeBalancers_ = core_.activeBalancers();
+    if (core_.takeTableCheck(now)) {
+        checkRequested_ = true;
+        checkThread_->wake();
+    }
     // The fabric falls back to all balancers of a zone when too few are ready, so packets may still arrive here.
     // Nothing but the shutdown delay and the registration may therefore delay the exit.
     if (exitAt_ && now >= *exitAt_ && registrationThread_->mayStop()) {
@@ -98,6 +103,16 @@
     sockets_.flush();
 }
 
+Milliseconds BalancerNode::checkTable()
+{
+    if (checkRequested_.exchange(false) && !shuttingDown_) {
+        const Timestamp begun = loop_.clock().now();
+        const bool succeeded = watcher_.check();
+        loop_.post([this, begun, succeeded] { core_.onTableCheck(loop_.now(), begun, succeeded); });
+    }
+    return UntilWoken;
+}
+
 void BalancerNode::terminate()
 {
     if (!exitAt_) {
@@ -114,12 +129,13 @@
 void BalancerNode::stop()
 {
     watcherThread_.reset();
+    checkThread_.reset();
     registrationThread_.reset();
 }
 
 std::string BalancerNode::metrics()
 {
-    return loop_.call([this] { return balancerMetrics(core_, sockets_); }).value_or(std::string());
+    return loop_.call([this] { return balancerMetrics(core_, sockets_, loop_.now()); }).value_or(std::string());
 }
 
 std::string BalancerNode::dump()
--- a/src/node/balancernode.h
+++ b/src/node/balancernode.h
@@ -52,6 +52,8 @@
 private:
     void tick(Timestamp now);
     void terminate();
+    /** Makes a requested check of the table; runs on its own thread. */
+    Milliseconds checkTable();
 
     EventLoop &loop_;
     ConfigStore &store_;
@@ -61,10 +63,12 @@
     TableWatcher watcher_;
     std::atomic<bool> ready_ = false;
     std::atomic<bool> shuttingDown_ = false;
-    std::atomic<std::size_t> activeBalancers_ = 0;
+    std::atomic<bool> checkRequested_ = false;
     std::optional<Timestamp> exitAt_;
     std::unique_ptr<RegistrationThread> registrationThread_;
     std::unique_ptr<WorkerThread> watcherThread_;
+    /** Compares the table with the store while the watcher's thread waits for changes. */
+    std::unique_ptr<WorkerThread> checkThread_;
 };
 
 } // namespace rhubarblane
--- a/src/node/nodereport.cpp
+++ b/src/node/nodereport.cpp
@@ -54,6 +54,11 @@
         "flows_lost_total", "Flows reset since no target holds them", &RelayBalancerCounters::flowsLost},
     CounterRow<RelayBalancerCounters> {
         "tables_from_peers_total", "Tables fetched from other balancers", &RelayBalancerCounters::tablesFromPeers},
+    CounterRow<RelayBalancerCounters> {
+        "table_checks_total", "Comparisons of the table with the store", &RelayBalancerCounters::tableChecks},
+    CounterRow<RelayBalancerCounters> {"table_checks_failed_total",
+                                       "Comparisons without an answer of the store",
+                                       &RelayBalancerCounters::tableChecksFailed},
 };
 
 constexpr std::array AgentRows {
@@ -116,13 +121,16 @@
 
 } // namespace
 
-std::string balancerMetrics(const RelayBalancer &core, const RelaySockets &sockets)
+std::string balancerMetrics(const RelayBalancer &core, const RelaySockets &sockets, Timestamp now)
 {
     MetricsText text;
     addCounters(text, BalancerRows, core.counters());
     text.gauge("table_version",
                "Version of the service table in force",
                core.table() == nullptr ? 0.0 : static_cast<double>(core.table()->version.value()));
+    text.gauge("table_check_age_ms",
+               "Time since any balancer compared the table with the store, -1 if none did",
+               static_cast<double>(core.tableCheckAge(now).value_or(Milliseconds(-1)).count()));
     text.gauge("flows", "Flows whose owner is remembered", static_cast<double>(core.flows()));
     text.gauge("targets", "Targets that report", static_cast<double>(core.targets().size()));
     text.histogram("flow_open_seconds", "Time from the first packet to the opened flow", core.openTimes());
--- a/src/node/nodereport.h
+++ b/src/node/nodereport.h
@@ -11,7 +11,7 @@
 {
 
 /** These return the metrics of a process in the Prometheus text format. */
-std::string balancerMetrics(const RelayBalancer &core, const RelaySockets &sockets);
+std::string balancerMetrics(const RelayBalancer &core, const RelaySockets &sockets, Timestamp now);
 std::string agentMetrics(const RelayAgent &core, const RelaySockets &sockets, Timestamp now);
 
 /** These return the state of a process as JSON. */
--- a/src/node/tablewatcher.cpp
+++ b/src/node/tablewatcher.cpp
@@ -9,13 +9,11 @@
 namespace
 {
 
-// A stalled connection hides changes until the watch times out and a new connection is opened. With this timeout some
-// balancer of the fleet opens one about every second, and the others fetch a newer table from it within another 0.5 s.
-// A new table must be in force within 3 s.
-constexpr Milliseconds WatchTimeoutPerBalancer(1250);
-constexpr Milliseconds MinWatchTimeout(2500);
-// Must stay below 30 s, the longest watch that the store allows.
+// Must stay below 30 s, the longest watch that the store allows. Changes that a stalled connection hides are found by
+// check().
 constexpr Milliseconds MaxWatchTimeout(25000);
+// The store answers a watch with this timeout immediately. A timeout of 0 may mean the store's default.
+constexpr Milliseconds CheckWatchTimeout(1);
 constexpr Milliseconds RetryInterval(300);
 
 } // namespace
@@ -29,19 +27,44 @@
 {
 }
 
-Milliseconds TableWatcher::step(std::size_t balancers)
+Milliseconds TableWatcher::step()
 {
-    const Milliseconds longest =
-        std::clamp(WatchTimeoutPerBalancer * static_cast<std::int64_t>(balancers), MinWatchTimeout, MaxWatchTimeout);
     // Jitter spreads the reconnects of balancers that started at the same time.
     const Milliseconds wait(
-        std::uniform_int_distribution<std::int64_t>(longest.count() * 3 / 4, longest.count())(random_));
-    const std::optional<Error> error = lastRevision_ == Revision() ? readAll() : waitForChange(wait);
+        std::uniform_int_distribution<std::int64_t>(MaxWatchTimeout.count() * 3 / 4, MaxWatchTimeout.count())(random_));
+    const Outcome<Revision> read = lastRevision_ == Revision() ? readAll() : waitForChange(lastRevision_, wait);
+    std::optional<Error> error;
+    if (isOk(read)) {
+        lastRevision_ = valueOf(read);
+    } else {
+        // The store may have compacted its history, so only a full read returns the changes since the last revision.
+        lastRevision_ = Revision();
+        if (errorOf(read).code == ErrorCode::NotFound) {
+            onLog_("historyDropped", key_);
+        } else {
+            error = errorOf(read);
+        }
+    }
     updateStoreAvailability(error);
     return error ? RetryInterval : Milliseconds(0);
 }
 
-std::optional<Error> TableWatcher::readAll()
+bool TableWatcher::check()
+{
+    Outcome<Revision> read =
+        checkedRevision_ == Revision() ? readAll() : waitForChange(checkedRevision_, CheckWatchTimeout);
+    if (!isOk(read) && errorOf(read).code == ErrorCode::NotFound) {
+        read = readAll();
+    }
+    if (isOk(read)) {
+        checkedRevision_ = valueOf(read);
+    } else if (!stopping_) {
+        onLog_("tableCheckFailed", errorOf(read).message);
+    }
+    return isOk(read);
+}
+
+Outcome<Revision> TableWatcher::readAll()
 {
     const Outcome<StoredRange> range = store_.range(key_);
     if (!isOk(range)) {
@@ -52,29 +75,22 @@
             publishTable(value.value, value.modified);
         }
     }
-    lastRevision_ = valueOf(range).revision;
-    return std::nullopt;
+    return valueOf(range).revision;
 }
 
-std::optional<Error> TableWatcher::waitForChange(Milliseconds wait)
+Outcome<Revision> TableWatcher::waitForChange(Revision last, Milliseconds wait)
 {
-    const Outcome<std::vector<StoredChange>> changes = store_.watch(key_, Revision(lastRevision_.value() + 1), wait);
+    const Outcome<std::vector<StoredChange>> changes = store_.watch(key_, Revision(last.value() + 1), wait);
     if (!isOk(changes)) {
-        // The store may have compacted its history, so only a full read returns the changes since the last revision.
-        lastRevision_ = Revision();
-        if (errorOf(changes).code == ErrorCode::NotFound) {
-            onLog_("historyDropped", key_);
-            return std::nullopt;
-        }
         return errorOf(changes);
     }
     for (const StoredChange &change : valueOf(changes)) {
         if (change.key == key_ && change.value) {
             publishTable(*change.value, change.modified);
         }
-        lastRevision_ = std::max(lastRevision_, change.modified);
+        last = std::max(last, change.modified);
     }
-    return std::nullopt;
+    return last;
 }
 
 void TableWatcher::publishTable(const std::string &value, Revision modified)
--- a/src/node/tablewatcher.h
+++ b/src/node/tablewatcher.h
@@ -7,15 +7,18 @@
 #include "store/configstore.h"
 
 #include <atomic>
-#include <cstddef>
 #include <functional>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace rhubarblane
 {
 
-/** Watches the store key that holds the operators' service table. Each step blocks while it waits for a change. */
+/**
+ * Watches the store key that holds the operators' service table. Each step blocks while it waits for a change. step()
+ * and check() may run on two threads, so the handlers must be thread-safe.
+ */
 class TableWatcher
 {
 public:
@@ -26,11 +29,14 @@
     /** `store` must outlive the watcher. */
     TableWatcher(ConfigStore &store, std::string key, Decoder decode, TableHandler onTable, LogHandler onLog);
 
+    /** Reads the table or waits for a change of it, and returns the time to wait before the next step. */
+    Milliseconds step();
+
     /**
-     * Reads the table or waits for a change of it, and returns the time to wait before the next step. `balancers` is
-     * the number of balancers that watch the table, including this one.
+     * Reads changes of the table over a new connection, also while a step waits on another thread. Returns false if the
+     * store did not answer.
      */
-    Milliseconds step(std::size_t balancers);
+    bool check();
 
     /**
      * Announces the end of the process, so that cancelled calls are not logged as loss of the store. May be called on
@@ -42,8 +48,10 @@
     }
 
 private:
-    std::optional<Error> readAll();
-    std::optional<Error> waitForChange(Milliseconds wait);
+    /** Publishes the table and returns the store's revision. */
+    Outcome<Revision> readAll();
+    /** Publishes changes after `last` and returns the revision up to which all changes are known. */
+    Outcome<Revision> waitForChange(Revision last, Milliseconds wait);
     void publishTable(const std::string &value, Revision modified);
     void updateStoreAvailability(const std::optional<Error> &error);
 
@@ -54,6 +62,8 @@
     LogHandler onLog_;
     /** Revision up to which all changes are known; Revision() before the first full read. */
     Revision lastRevision_;
+    /** Like lastRevision_, for check(), which runs on another thread. */
+    Revision checkedRevision_;
     std::mt19937_64 random_ {std::random_device {}()};
     bool storeAvailable_ = true;
     std::atomic<bool> stopping_ = false;
--- a/src/relay/balancerpeers.cpp
+++ b/src/relay/balancerpeers.cpp
@@ -52,10 +52,12 @@
 
 } // namespace
 
-BalancerPeers::BalancerPeers(Timestamp now, Peer self, std::vector<PeerAddress> seeds, RelayOutput &output)
+BalancerPeers::BalancerPeers(
+    Timestamp now, Peer self, std::vector<PeerAddress> seeds, const TableFreshness &freshness, RelayOutput &output)
     : started_(now)
     , directory_(std::move(self))
     , seeds_(std::move(seeds))
+    , freshness_(freshness)
     , output_(output)
     , balancerRotation_(directory_.self().id().value() ^ directory_.self().incarnation)
 {
@@ -67,6 +69,11 @@
     nextBalancerHello_ = now;
 }
 
+void BalancerPeers::announceTableCheck(Timestamp now)
+{
+    nextBalancerHello_ = now;
+}
+
 bool BalancerPeers::recordContact(Timestamp now, const Peer &peer)
 {
     const PeerDirectory::Entry *known = directory_.find(peer.id());
@@ -158,6 +165,10 @@
     hello->set_table_version(tableVersion_.value());
     hello->set_leaving(leaving_);
     std::vector<const PeerDirectory::Entry *> recent = directory_.recentContacts(now);
+    if (receiver == PeerRole::Balancer && freshness_.lastCheck()) {
+        hello->set_table_check(freshness_.lastCheck()->id);
+        hello->set_table_check_age_ms(static_cast<std::uint32_t>((now - freshness_.lastCheck()->begun).count()));
+    }
     if (receiver == PeerRole::Agent) {
         // Agents need to know balancers only.
         recent.erase(
--- a/src/relay/balancerpeers.h
+++ b/src/relay/balancerpeers.h
@@ -7,6 +7,7 @@
 #include "relay/relayoutput.h"
 #include "relay/relaytypes.h"
 #include "relay/seedcontacts.h"
+#include "relay/tablefreshness.h"
 
 #include <cstddef>
 #include <string_view>
@@ -19,8 +20,9 @@
 class BalancerPeers
 {
 public:
-    /** `output` must outlive the object. */
-    BalancerPeers(Timestamp now, Peer self, std::vector<PeerAddress> seeds, RelayOutput &output);
+    /** `freshness` and `output` must outlive the object. */
+    BalancerPeers(
+        Timestamp now, Peer self, std::vector<PeerAddress> seeds, const TableFreshness &freshness, RelayOutput &output);
 
     const PeerDirectory &directory() const
     {
@@ -33,6 +35,9 @@
      */
     void setTableVersion(Timestamp now, TableVersion version);
 
+    /** Announces a check of the table with the next hello messages, which are sent immediately. */
+    void announceTableCheck(Timestamp now);
+
     /**
      * Records a message from the peer itself and sends a hello to a new peer or a new incarnation. Returns false for a
      * message of an earlier incarnation.
@@ -68,6 +73,7 @@
     Timestamp started_;
     PeerDirectory directory_;
     SeedContacts seeds_;
+    const TableFreshness &freshness_;
     RelayOutput &output_;
     PeerRotation balancerRotation_;
     TableVersion tableVersion_;
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -154,6 +154,10 @@
     }
     const TableVersion peerVersion(hello.table_version());
     const TableVersion ownVersion = context_.table ? context_.table->version : TableVersion();
+    if (hello.table_check() != 0 && peerVersion <= ownVersion) {
+        const Timestamp begun = now + Milliseconds(-static_cast<std::int64_t>(hello.table_check_age_ms()));
+        context_.freshness.noteCheckOfPeer({hello.table_check(), begun});
+    }
     if (ownVersion < peerVersion && now >= nextTableRequest_) {
         nextTableRequest_ = now + TableRequestInterval;
         wire::relay::Message message;
@@ -262,16 +266,40 @@
     if (context_.table && table.version <= context_.table->version) {
         return;
     }
-    context_.output.logDecision("tableInForce",
-                                {{"version", std::to_string(table.version.value())},
-                                 {"before", std::to_string(context_.table ? context_.table->version.value() : 0)},
-                                 {"services", std::to_string(table.services.size())},
-                                 {"from", std::string(source)}});
+    context_.output.logDecision(
+        "tableInForce",
+        {{"version", std::to_string(table.version.value())},
+         {"before", std::to_string(context_.table ? context_.table->version.value() : 0)},
+         {"services", std::to_string(table.services.size())},
+         {"from", std::string(source)},
+         {"checkAgeMs", std::to_string(tableCheckAge(now).value_or(Milliseconds(-1)).count())}});
     context_.table = std::move(table);
     context_.table->indexPriorities();
     context_.peers.setTableVersion(now, context_.table->version);
 }
 
+bool RelayBalancer::takeTableCheck(Timestamp now)
+{
+    return context_.table && !leaving_ && context_.freshness.takeDueCheck(now, context_.peers.directory());
+}
+
+void RelayBalancer::onTableCheck(Timestamp now, Timestamp begun, bool succeeded)
+{
+    ++context_.counters.tableChecks;
+    context_.freshness.finishCheck(now, begun, succeeded);
+    if (succeeded) {
+        context_.peers.announceTableCheck(now);
+    } else {
+        ++context_.counters.tableChecksFailed;
+    }
+}
+
+std::optional<Milliseconds> RelayBalancer::tableCheckAge(Timestamp now) const
+{
+    const std::optional<TableCheck> &check = context_.freshness.lastCheck();
+    return check ? std::optional<Milliseconds>(now - check->begun) : std::nullopt;
+}
+
 void RelayBalancer::onStorePeers(Timestamp now, const std::vector<Peer> &peers)
 {
     finder_.noteStoreRead(now);
--- a/src/relay/relaybalancer.h
+++ b/src/relay/relaybalancer.h
@@ -31,6 +31,15 @@
     /** Applies a table if it is newer than the current one. `source` is logged. */
     void onTable(Timestamp now, ServiceTable table, std::string_view source);
 
+    /**
+     * Returns true if the caller must compare the table with the store now, over a new connection. The caller then
+     * passes a newer table to onTable() and calls onTableCheck().
+     */
+    bool takeTableCheck(Timestamp now);
+
+    /** Records the end of a comparison that began at `begun`; `succeeded` is false if the store did not answer. */
+    void onTableCheck(Timestamp now, Timestamp begun, bool succeeded);
+
     /** Adds the processes that the store lists. */
     void onStorePeers(Timestamp now, const std::vector<Peer> &peers);
 
@@ -74,6 +83,9 @@
     {
         return openTimes_;
     }
+    /** Returns the time since the table was last compared with the store by any balancer; no value if it never was. */
+    std::optional<Milliseconds> tableCheckAge(Timestamp now) const;
+
     /** Returns the number of balancers that sent a message within the last 4 s. */
     std::size_t activeBalancers() const
     {
--- a/src/relay/relaybalancercontext.h
+++ b/src/relay/relaybalancercontext.h
@@ -9,6 +9,7 @@
 #include "relay/recentflows.h"
 #include "relay/relayoutput.h"
 #include "relay/servicetable.h"
+#include "relay/tablefreshness.h"
 #include "relay/targetdirectory.h"
 
 #include <cstddef>
@@ -46,6 +47,8 @@
     std::uint64_t droppedNoFlow = 0;
     std::uint64_t flowsLost = 0;
     std::uint64_t tablesFromPeers = 0;
+    std::uint64_t tableChecks = 0;
+    std::uint64_t tableChecksFailed = 0;
 };
 
 /** The state that the components of a RelayBalancer share: its tables, peers, counters and output. */
@@ -68,6 +71,7 @@
     RelayBalancerSettings settings;
     const PacketFormat &format;
     RelayOutput &output;
+    TableFreshness freshness;
     BalancerPeers peers;
     TargetDirectory targets;
     RecentFlows<BalancerFlow> flows;
--- a/src/tests/relayfleettest.cpp
+++ b/src/tests/relayfleettest.cpp
@@ -14,6 +14,7 @@
 
 constexpr int Zones = 6;
 constexpr Milliseconds Tick(20);
+constexpr Milliseconds StoreCallTime(40);
 
 Peer process(PeerRole role, int number)
 {
@@ -31,6 +32,7 @@
         RecordedOutput output;
         std::unique_ptr<RelayBalancer> balancer;
         std::size_t hellos = 0;
+        std::optional<Timestamp> checkBegun;
     };
 
     void startBalancers(int count)
@@ -71,10 +73,33 @@
             }
             for (auto &[address, member] : members) {
                 member.balancer->onTick(now);
+                checkTable(member);
             }
         }
     }
 
+    /** Makes the due check of a member, whose store call takes StoreCallTime. */
+    void checkTable(Member &member)
+    {
+        if (member.balancer->takeTableCheck(now)) {
+            ++checks;
+            member.checkBegun = now;
+        }
+        if (member.checkBegun && now - *member.checkBegun >= StoreCallTime) {
+            if (storeTable) {
+                member.balancer->onTable(now, *storeTable, "store");
+            }
+            member.balancer->onTableCheck(now, *std::exchange(member.checkBegun, std::nullopt), storeTable.has_value());
+        }
+    }
+
+    /** Writes a table to the store. No watch returns it, as if all connections had gone silent. */
+    void writeSilently(std::uint64_t version)
+    {
+        storeTable = ServiceTable();
+        storeTable->version = TableVersion(version);
+    }
+
     /** Returns the hello messages per second of the balancer that sends most. */
     double hellosPerSecond()
     {
@@ -109,6 +134,9 @@
     PlainPacketFormat format;
     std::map<PeerAddress, Member> members;
     std::function<bool(const PeerAddress &)> loses;
+    /** The table in the store; no value while the store is down. */
+    std::optional<ServiceTable> storeTable;
+    int checks = 0;
 };
 
 } // namespace
@@ -161,4 +189,45 @@
     BOOST_TEST(members.begin()->second.balancer->peers().withRole(PeerRole::Balancer).size() == 89u);
 }
 
+// Guards against a table that comes into force late because the watches of all balancers wait on silent connections
+// (review/2). A change must be in force 3 s after its acknowledgement, at any size of the fleet and any time.
+BOOST_AUTO_TEST_CASE(fleetWithSilentWatchesHasNewTableWithinThreeSeconds)
+{
+    for (const int size : {1, 2, 4, 8, 12, 18, 60, 120}) {
+        members.clear();
+        storeTable.reset();
+        writeSilently(1);
+        startBalancers(size);
+        publish(1);
+        run(Milliseconds(6000));
+        std::mt19937_64 random(5);
+        loses = [&random](const PeerAddress &) { return random() % 20 == 0; };
+        checks = 0;
+        const Timestamp begun = now;
+        const int changes = size < 50 ? 12 : 3;
+        for (int change = 2; change < 2 + changes; ++change) {
+            writeSilently(static_cast<std::uint64_t>(change));
+            run(Milliseconds(3000));
+            BOOST_TEST(withTable(static_cast<std::uint64_t>(change)) == size, "version " << change << ", " << size);
+            run(Milliseconds(static_cast<std::int64_t>(random() % 1000)));
+        }
+        // One percent of the 2,000 reads per second that the store of a small deployment allows.
+        constexpr double MostChecksPerSecond = 20.0;
+        const double perSecond = 1000.0 * checks / static_cast<double>((now - begun).count());
+        BOOST_TEST(perSecond <= MostChecksPerSecond, perSecond << " checks/s of " << size);
+        loses = nullptr;
+    }
+}
+
+// Guards against a balancer that relies on checks which another one cannot make.
+BOOST_AUTO_TEST_CASE(fleetWithStoreThatReturnsHasNewTableWithinThreeSeconds)
+{
+    startBalancers(12);
+    publish(1);
+    run(Milliseconds(20000));
+    writeSilently(2);
+    run(Milliseconds(3000));
+    BOOST_TEST(withTable(2) == 12);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/tablewatchertest.cpp
+++ b/src/tests/tablewatchertest.cpp
@@ -47,10 +47,10 @@
 BOOST_AUTO_TEST_CASE(watcherReadsTableAndFollowsChanges)
 {
     write("7");
-    watcher.step(1);
+    watcher.step();
     write("9");
-    watcher.step(1);
-    watcher.step(1);
+    watcher.step();
+    watcher.step();
     BOOST_TEST((versions == std::vector<std::uint64_t> {7, 9}));
 }
 
@@ -58,11 +58,11 @@
 BOOST_AUTO_TEST_CASE(watcherWithDroppedHistoryReadsTableAnew)
 {
     write("7");
-    watcher.step(1);
+    watcher.step();
     write("9");
     store.table.compact();
-    watcher.step(1);
-    watcher.step(1);
+    watcher.step();
+    watcher.step();
     BOOST_TEST(logged("historyDropped"));
     BOOST_TEST(versions.back() == 9u);
 }
@@ -71,12 +71,12 @@
 BOOST_AUTO_TEST_CASE(watcherAfterOutageReadsTableAnew)
 {
     write("7");
-    watcher.step(1);
+    watcher.step();
     store.available = false;
-    BOOST_TEST(watcher.step(1).count() > 0);
+    BOOST_TEST(watcher.step().count() > 0);
     write("9");
     store.available = true;
-    watcher.step(1);
+    watcher.step();
     BOOST_TEST(versions.back() == 9u);
     BOOST_TEST(logged("storeLost"));
     BOOST_TEST(logged("storeRegained"));
@@ -86,23 +86,41 @@
 BOOST_AUTO_TEST_CASE(watcherWithUnreadableTableLogsAndGoesOn)
 {
     write("7");
-    watcher.step(1);
+    watcher.step();
     write("broken");
-    watcher.step(1);
+    watcher.step();
     write("9");
-    watcher.step(1);
+    watcher.step();
     BOOST_TEST((versions == std::vector<std::uint64_t> {7, 9}));
     BOOST_TEST(logged("tableUnreadable"));
 }
 
+// Guards against a change that stays unknown while the watch waits on a silent connection.
+BOOST_AUTO_TEST_CASE(watcherWithSilentWatchFindsChangeByCheck)
+{
+    write("7");
+    watcher.step();
+    BOOST_TEST(watcher.check());
+    write("9");
+    BOOST_TEST(watcher.check());
+    BOOST_TEST(versions.back() == 9u);
+    write("11");
+    store.table.compact();
+    BOOST_TEST(watcher.check());
+    BOOST_TEST(versions.back() == 11u);
+    store.available = false;
+    BOOST_TEST(!watcher.check());
+    BOOST_TEST(logged("tableCheckFailed"));
+}
+
 // Guards against keys that share the watched key as a prefix.
 BOOST_AUTO_TEST_CASE(watcherIgnoresOtherKeysWithSamePrefix)
 {
     write("7");
     store.table.commit({{}, {{"op/table2", "99", LeaseId()}}});
-    watcher.step(1);
+    watcher.step();
     store.table.commit({{}, {{"op/table2", "100", LeaseId()}}});
-    watcher.step(1);
+    watcher.step();
     BOOST_TEST((versions == std::vector<std::uint64_t> {7}));
 }
 
