Follow a target whose clock was set back between two starts

Cause: the agent took every report with an earlier start time than the last one for a late report of an earlier start, and acknowledged it without applying it. After the clock was set back this held for all reports of the new start.

Evidence: the agent's log has targetReportOutdated for each report of the second start, sequence 1 to the last.

Fix: a start with an earlier start time replaces the current one if its reports continue while those of the current one do not, or at once if the current one has left or is overdue. A report that is not applied is not acknowledged unless a newer one of the same start was applied. Starts that were replaced are remembered, so that a late report of the start with the wrong clock does not count as a new start.

--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -58,11 +58,8 @@
 
 bool AgentNode::handleTargetReport(const TargetReport &report)
 {
-    const auto done = loop_.call([this, report] {
-        core_.onTargetReport(loop_.now(), report);
-        return true;
-    });
-    return done.has_value();
+    const auto done = loop_.call([this, report] { return core_.onTargetReport(loop_.now(), report); });
+    return done.value_or(false);
 }
 
 bool AgentNode::handleTargetLeft(const std::string &target)
--- a/src/node/nodereport.cpp
+++ b/src/node/nodereport.cpp
@@ -96,6 +96,9 @@
                                     &RelayAgentCounters::ejections},
     CounterRow<RelayAgentCounters> {
         "target_reports_outdated_total", "Late status reports", &RelayAgentCounters::reportsOutdated},
+    CounterRow<RelayAgentCounters> {"target_reports_unconfirmed_total",
+                                    "Status reports that may be late ones of an earlier start",
+                                    &RelayAgentCounters::reportsUnconfirmed},
 };
 
 template<typename Rows, typename Counters>
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -340,15 +340,24 @@
     output_.sendToPeer(balancer, message);
 }
 
-void RelayAgent::onTargetReport(Timestamp now, const TargetReport &report)
+bool RelayAgent::onTargetReport(Timestamp now, const TargetReport &report)
 {
     target_.advance(now);
     const TargetStatus::Change change = target_.report(now, report);
-    if (change == TargetStatus::Change::Outdated) {
-        ++counters_.reportsOutdated;
-        output_.logDecision("targetReportOutdated",
-                            {{"target", report.target}, {"sequence", std::to_string(report.sequence)}});
-        return;
+    const bool unconfirmed = change == TargetStatus::Change::Unconfirmed;
+    if (unconfirmed || change == TargetStatus::Change::Outdated) {
+        ++(unconfirmed ? counters_.reportsUnconfirmed : counters_.reportsOutdated);
+        const TargetReport &last = target_.lastReport();
+        output_.logDecision(unconfirmed ? "targetReportUnconfirmed" : "targetReportOutdated",
+                            {{"target", report.target},
+                             {"started", std::to_string(report.started)},
+                             {"sequence", std::to_string(report.sequence)},
+                             {"draining", report.draining ? "true" : "false"},
+                             {"lastTarget", last.target},
+                             {"lastStarted", std::to_string(last.started)},
+                             {"lastSequence", std::to_string(last.sequence)},
+                             {"lastAgeMs", std::to_string(target_.reportAge(now).value_or(Milliseconds(-1)).count())}});
+        return !unconfirmed;
     }
     flows_.setSlots(report.slots);
     if (change == TargetStatus::Change::NewStart) {
@@ -367,6 +376,7 @@
                              {"sequence", std::to_string(report.sequence)}});
         peers_.requestReport(now);
     }
+    return true;
 }
 
 void RelayAgent::onTargetLeft(Timestamp now, const std::string &target)
--- a/src/relay/relayagent.h
+++ b/src/relay/relayagent.h
@@ -40,7 +40,8 @@
     void onPeerMessage(Timestamp now, const PeerAddress &from, const wire::relay::Message &message);
     void onTargetPacket(Timestamp now, std::string_view packet);
 
-    void onTargetReport(Timestamp now, const TargetReport &report);
+    /** Returns false if the report is not acknowledged, because the next one decides whether it is valid. */
+    bool onTargetReport(Timestamp now, const TargetReport &report);
     void onTargetLeft(Timestamp now, const std::string &target);
 
     /** Adds the processes that the store lists. */
--- a/src/relay/targetstatus.cpp
+++ b/src/relay/targetstatus.cpp
@@ -1,5 +1,7 @@
 #include "relay/targetstatus.h"
 
+#include <algorithm>
+
 namespace rhubarblane
 {
 
@@ -8,6 +10,10 @@
 
 // Two consecutive reports may be lost or late before a target that sends no packets either counts as gone.
 constexpr int MissedReports = 3;
+// A target that has sent no report for this number of intervals has probably been replaced by the one that reports now.
+constexpr int OverdueReports = 2;
+// Late reports arrive within seconds, in which a target starts a few times at most.
+constexpr std::size_t MaximumReplacedStarts = 8;
 // Age of the agent, in percent of the report interval, from which the first report is overdue: targets report about
 // once per interval, and repeat a report without an answer sooner.
 constexpr std::int64_t OverduePercent = 125;
@@ -26,14 +32,23 @@
 
 TargetStatus::Change TargetStatus::report(Timestamp now, const TargetReport &report)
 {
-    const bool first = !lastReport_;
-    if (!first && report.started < report_.started) {
+    const bool sameStart = lastReport_ && report.isOfSameStart(report_);
+    const bool continues = sameStart && report.sequence > report_.sequence;
+    if (sameStart && !continues && !isOverdue(now)) {
         return Change::Outdated;
     }
-    const bool newStart = first || report.started > report_.started || report.target != report_.target;
-    if (!newStart && report.sequence <= report_.sequence) {
-        return Change::Outdated;
+    const bool newStart = !continues;
+    if (lastReport_ && newStart && !provesNewStart(now, report)) {
+        unconfirmed_ = report;
+        return Change::Unconfirmed;
     }
+    if (lastReport_ && newStart && !sameStart) {
+        replaced_.push_back(report_);
+        if (replaced_.size() > MaximumReplacedStarts) {
+            replaced_.pop_front();
+        }
+    }
+    unconfirmed_.reset();
     const bool changed = report.draining != report_.draining || hasLeft_;
     report_ = report;
     lastReport_ = now;
@@ -47,6 +62,31 @@
     return changed ? Change::Changed : Change::None;
 }
 
+bool TargetStatus::isOverdue(Timestamp now) const
+{
+    return pauses_.observedSilence(now, *lastReport_) > reportInterval_ * OverdueReports;
+}
+
+bool TargetStatus::wasReplaced(const TargetReport &report) const
+{
+    return std::any_of(replaced_.begin(), replaced_.end(), [&report](const TargetReport &replaced) {
+        return report.isOfSameStart(replaced);
+    });
+}
+
+bool TargetStatus::provesNewStart(Timestamp now, const TargetReport &report) const
+{
+    if (unconfirmed_ && report.isOfSameStart(*unconfirmed_) && report.sequence > unconfirmed_->sequence) {
+        return true;
+    }
+    if (wasReplaced(report) || report.isOfSameStart(report_)) {
+        return false;
+    }
+    const bool later =
+        report.started > report_.started || (report.started == report_.started && report.target != report_.target);
+    return later || hasLeft_ || isOverdue(now);
+}
+
 bool TargetStatus::noteLeave(const std::string &target)
 {
     if (!lastReport_ || target != report_.target) {
--- a/src/relay/targetstatus.h
+++ b/src/relay/targetstatus.h
@@ -6,6 +6,7 @@
 #include "relay/relaytypes.h"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 
@@ -22,6 +23,11 @@
     std::uint64_t sequence = 0;
     std::uint32_t slots = 1;
     bool draining = false;
+
+    bool isOfSameStart(const TargetReport &other) const
+    {
+        return target == other.target && started == other.started;
+    }
 };
 
 /** Determines the state of a target from its status reports and packets. */
@@ -32,7 +38,8 @@
         None, ///< The state is the same.
         Changed, ///< The state differs from the last report.
         NewStart, ///< First report of the target, or of a new start of it.
-        Outdated, ///< The report is older than the last one and was ignored.
+        Outdated, ///< The report is older than the last one of the same start and was ignored.
+        Unconfirmed, ///< The report may be a late one of an earlier start and was ignored; the next one decides.
     };
 
     TargetStatus(Milliseconds reportInterval, Timestamp now);
@@ -43,6 +50,11 @@
         pauses_.advance(now);
     }
 
+    /**
+     * Applies a report. A start with a later start time replaces the current one. Any other start may be an earlier one
+     * whose report is late, or a later one after the clock was set back. It replaces the current one if its reports
+     * continue while those of the current one do not.
+     */
     Change report(Timestamp now, const TargetReport &report);
 
     /** Records that the target announced its end. Returns false if this is not the target of the last report. */
@@ -67,9 +79,10 @@
     /** Returns the age of the last report, or no value before the first one. */
     std::optional<Milliseconds> reportAge(Timestamp now) const;
 
-    std::uint64_t sequence() const
+    /** Returns the last report that was applied; empty before the first one. */
+    const TargetReport &lastReport() const
     {
-        return report_.sequence;
+        return report_;
     }
 
     /** Returns the number of starts of the target that the agent has observed. */
@@ -79,10 +92,19 @@
     }
 
 private:
+    bool isOverdue(Timestamp now) const;
+    bool wasReplaced(const TargetReport &report) const;
+    /** Returns true if a report that does not continue the current start proves a new start. */
+    bool provesNewStart(Timestamp now, const TargetReport &report) const;
+
     Milliseconds reportInterval_;
     Timestamp started_;
     TargetReport report_;
     std::optional<Timestamp> lastReport_;
+    /** The last unconfirmed report, if none was applied since. */
+    std::optional<TargetReport> unconfirmed_;
+    /** The last starts that were replaced by another one, oldest first. */
+    std::deque<TargetReport> replaced_;
     /** Time of the last report or packet of the target. */
     Timestamp lastContact_;
     std::optional<Timestamp> unansweredSince_;
--- a/src/tests/relayagenttest.cpp
+++ b/src/tests/relayagenttest.cpp
@@ -15,7 +15,7 @@
         output.clear();
     }
 
-    void report(std::uint64_t sequence, std::int64_t started, bool draining = false, const std::string &id = "desk-1")
+    bool report(std::uint64_t sequence, std::int64_t started, bool draining = false, const std::string &id = "desk-1")
     {
         TargetReport report;
         report.target = id;
@@ -24,7 +24,7 @@
         report.sequence = sequence;
         report.slots = 1;
         report.draining = draining;
-        agent.onTargetReport(now, report);
+        return agent.onTargetReport(now, report);
     }
 
     void forward(const std::string &packet,
@@ -238,6 +238,63 @@
     BOOST_TEST((agent.state(now) == TargetState::Ready));
 }
 
+// Guards against an agent that ignores a target for as long as it runs, because the clock was set back between two
+// starts of the target (review/3).
+BOOST_AUTO_TEST_CASE(agentWithTargetRestartedAfterClockWasSetBackAppliesItsReports)
+{
+    BOOST_TEST(report(1, 8000));
+    advance(300);
+    // Without acknowledgement the target repeats the report.
+    BOOST_TEST(!report(1, 6000));
+    BOOST_TEST(output.hasDecision("targetReportUnconfirmed"));
+    BOOST_TEST(report(2, 6000));
+    BOOST_TEST(report(3, 6000, true));
+    BOOST_TEST((agent.state(now) == TargetState::Draining));
+    // The replaced start has the later start time, but its late report is as outdated.
+    BOOST_TEST(!report(2, 8000));
+    BOOST_TEST((agent.state(now) == TargetState::Draining));
+    BOOST_TEST(report(4, 6000, true));
+    BOOST_TEST(!report(3, 8000));
+    BOOST_TEST((agent.state(now) == TargetState::Draining));
+}
+
+// Guards against a draining report of such a start that is acknowledged and not applied.
+BOOST_AUTO_TEST_CASE(agentWithDrainingReportOfUnconfirmedStartDoesNotAcknowledgeIt)
+{
+    BOOST_TEST(report(2, 8000));
+    BOOST_TEST(!report(1, 6000, true));
+    BOOST_TEST(report(2, 6000, true));
+    BOOST_TEST((agent.state(now) == TargetState::Draining));
+}
+
+// Guards against a late report of an earlier start that replaces the state of a target that has just left or has
+// not reported for long.
+BOOST_AUTO_TEST_CASE(agentWithTargetThatEndedAppliesReportOfNextStartImmediately)
+{
+    BOOST_TEST(report(1, 8000));
+    agent.onTargetLeft(now, "desk-1");
+    BOOST_TEST(report(1, 6000, false, "desk-2"));
+    BOOST_TEST((agent.state(now) == TargetState::Ready));
+    BOOST_TEST(!report(2, 8000));
+    advance(2100);
+    BOOST_TEST(!report(3, 5000));
+    BOOST_TEST(report(1, 5500, true, "desk-3"));
+    BOOST_TEST((agent.state(now) == TargetState::Draining));
+}
+
+// Guards against a target that is ignored because it has started again with the same start time.
+BOOST_AUTO_TEST_CASE(agentWithTargetRestartedAtSameStartTimeAppliesItsReports)
+{
+    BOOST_TEST(report(9, 5000));
+    advance(1000);
+    BOOST_TEST(report(1, 5000, true));
+    BOOST_TEST((agent.state(now) == TargetState::Ready));
+    advance(1100);
+    BOOST_TEST(!report(2, 5000, true));
+    BOOST_TEST(report(3, 5000, true));
+    BOOST_TEST((agent.state(now) == TargetState::Draining));
+}
+
 // Guards against flows of an earlier start of the target that get no answer until their callers give up.
 BOOST_AUTO_TEST_CASE(agentWithRestartedTargetReportsFlowAbsent)
 {
