Let a restarted target tell which of its open flows it holds

Cause: the agent assigned a flow to the number of starts that it had read reports of. The first report of the new start raised this number, so the agent took flows opened before it for flows of the earlier start, returned their packets without asking the target and denied them in searches.

Evidence: flowOpened, then flowNotHeld by the same agent and flowLost in one millisecond, and targetState of the new start between them, for a flow that the record of the target shows as held.

Fix: at a new start all open flows become unconfirmed, and the target's answer to the next packet, or its return of that packet, decides. The number of starts is no longer part of a flow's record. flows_unconfirmed_total counts these flows.

--- a/src/node/nodereport.cpp
+++ b/src/node/nodereport.cpp
@@ -94,6 +94,9 @@
     CounterRow<RelayAgentCounters> {"ejections_total",
                                     "Times that the target was ejected for the requests that it reset",
                                     &RelayAgentCounters::ejections},
+    CounterRow<RelayAgentCounters> {"flows_unconfirmed_total",
+                                    "Flows open at a new start of the target, which may belong to the start before",
+                                    &RelayAgentCounters::flowsUnconfirmed},
     CounterRow<RelayAgentCounters> {
         "target_reports_outdated_total", "Late status reports", &RelayAgentCounters::reportsOutdated},
     CounterRow<RelayAgentCounters> {"target_reports_unconfirmed_total",
--- a/src/relay/agentflow.h
+++ b/src/relay/agentflow.h
@@ -15,13 +15,14 @@
     bool open = false; ///< The target answered the opening packet.
     /** The flow was created by a forwarded packet, and the target has not yet shown whether it holds the flow. */
     bool probed = false;
+    /** The target has started again, and has not yet shown whether the flow belongs to the new start. */
+    bool unconfirmed = false;
     bool sentRequest = false;
     bool requestPending = false;
     bool requestInSlot = false; ///< A slot was free when the pending request started.
     bool callerClosed = false;
     bool targetClosed = false;
     std::uint32_t callerSequence = 0; ///< Sequence number after the last byte of the caller.
-    std::uint64_t targetStartCount = 0; ///< Value of TargetStatus::startCount() when the flow opened.
     Timestamp requestStarted;
 
     bool closed() const
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -106,8 +106,7 @@
         return;
     }
     const AgentFlow *flow = flows_.find(head->flow);
-    const bool ended = flow == nullptr ? isTargetGone(now) : belongsToEndedTarget(now, *flow);
-    if (ended) {
+    if (isTargetGone(now)) {
         ++counters_.returnedNotHeld;
         discardEndedFlow(now, head->flow);
         returnPacket(now, from, ReturnReason::NotHeld, forward.packet());
@@ -121,9 +120,7 @@
 
 void RelayAgent::probe(Timestamp now, const FlowTuple &tuple)
 {
-    AgentFlow &flow = flows_.touch(now, tuple);
-    flow.probed = true;
-    flow.targetStartCount = target_.startCount();
+    flows_.touch(now, tuple).probed = true;
 }
 
 void RelayAgent::handleSearch(Timestamp now,
@@ -159,13 +156,13 @@
 FlowPresence RelayAgent::presenceOf(Timestamp now, const FlowTuple &tuple)
 {
     const AgentFlow *flow = flows_.find(tuple);
-    const bool absent = flow == nullptr ? !mayHoldUntrackedFlows(now) : belongsToEndedTarget(now, *flow);
+    const bool absent = flow == nullptr ? !mayHoldUntrackedFlows(now) : isTargetGone(now);
     if (absent) {
         ++counters_.searchesAbsent;
         discardEndedFlow(now, tuple);
         return FlowPresence::Absent;
     }
-    return flow == nullptr || flow->probed ? FlowPresence::Uncertain : FlowPresence::Held;
+    return flow == nullptr || flow->probed || flow->unconfirmed ? FlowPresence::Uncertain : FlowPresence::Held;
 }
 
 void RelayAgent::handleOpen(Timestamp now,
@@ -208,9 +205,6 @@
     if (known || mode == valueOf(ForwardMode::Open)) {
         AgentFlow &flow = flows_.touch(now, head.flow);
         flow.balancer = from;
-        if (!known) {
-            flow.targetStartCount = target_.startCount();
-        }
         if (!flow.probed) {
             flows_.noteCallerPacket(now, flow, head);
         }
@@ -280,15 +274,16 @@
     }
     ++counters_.packetsOut;
     AgentFlow &flow = flows_.touch(now, head.flow);
-    if (!flow.open) {
+    const bool unconfirmed = std::exchange(flow.unconfirmed, false);
+    if (!flow.open || unconfirmed) {
         const bool probed = std::exchange(flow.probed, false);
         flow.open = true;
-        flow.targetStartCount = target_.startCount();
         if (head.opening) {
             ++counters_.flowsOpened;
         }
         if (flow.balancer.port != 0) {
-            answerFlow(now, flow.balancer, head.flow, probed ? FlowPresence::Held : FlowPresence::Opened);
+            const bool held = probed || (unconfirmed && !head.opening);
+            answerFlow(now, flow.balancer, head.flow, held ? FlowPresence::Held : FlowPresence::Opened);
         }
     }
     const std::uint64_t ejections = flows_.outliers().ejections();
@@ -312,9 +307,8 @@
 
 void RelayAgent::discardEndedFlow(Timestamp now, const FlowTuple &tuple)
 {
-    const AgentFlow *flow = flows_.find(tuple);
-    if (flow != nullptr && flow->targetStartCount == target_.startCount()) {
-        // The target has sent nothing for long but has not restarted. If it resumes, it still holds the flow.
+    if (flows_.find(tuple) != nullptr) {
+        // If the target has only been silent and resumes, it still holds the flow.
         uncertainSince_ = now;
     }
     flows_.discard(now, tuple);
@@ -366,7 +360,7 @@
         }
         // A target that reported before this agent started still holds the flows whose packets it has sent.
         const bool keepsFlows = target_.startCount() == 1 && report.sequence > FirstReportSequence;
-        flows_.handleTargetRestart(now, target_.startCount(), keepsFlows);
+        flows_.handleTargetRestart(now, keepsFlows);
     }
     if (change != TargetStatus::Change::None) {
         output_.logDecision("targetState",
@@ -443,11 +437,6 @@
     return target_.state(now) == TargetState::Gone || (leaving_ && target_.isFirstReportOverdue(now));
 }
 
-bool RelayAgent::belongsToEndedTarget(Timestamp now, const AgentFlow &flow) const
-{
-    return isTargetGone(now) || (flow.open && flow.targetStartCount != target_.startCount());
-}
-
 bool RelayAgent::mayHoldUntrackedFlows(Timestamp now) const
 {
     return uncertainSince_ && now - *uncertainSince_ < FlowRetention && !isTargetGone(now);
--- a/src/relay/relayagent.h
+++ b/src/relay/relayagent.h
@@ -112,8 +112,6 @@
     handleSearch(Timestamp now, const PeerAddress &from, const wire::relay::Forward &forward, const RelayPacket &head);
     wire::relay::Report makeReport(Timestamp now);
     void fillLoad(Timestamp now, wire::relay::Load &load);
-    /** Returns true if the target has ended or restarted since the flow opened. */
-    bool belongsToEndedTarget(Timestamp now, const AgentFlow &flow) const;
     /** Returns true if the target may hold a flow that the agent has no record of. */
     bool mayHoldUntrackedFlows(Timestamp now) const;
     std::uint32_t tagFor(const PeerAddress &balancer, std::uint32_t mode);
--- a/src/relay/relayagentcounters.h
+++ b/src/relay/relayagentcounters.h
@@ -23,6 +23,7 @@
     std::uint64_t requestsAbandoned = 0; ///< Requests that ended without an answer.
     std::uint64_t requestsCutOff = 0; ///< The abandoned requests that the target reset.
     std::uint64_t ejections = 0;
+    std::uint64_t flowsUnconfirmed = 0;
     std::uint64_t reportsOutdated = 0;
     std::uint64_t reportsUnconfirmed = 0;
 };
--- a/src/relay/targetflows.cpp
+++ b/src/relay/targetflows.cpp
@@ -83,13 +83,18 @@
     }
 }
 
-void TargetFlows::handleTargetRestart(Timestamp now, std::uint64_t start, bool keepsFlows)
+void TargetFlows::handleTargetRestart(Timestamp now, bool keepsFlows)
 {
     meter_.clear(now);
     outliers_.clear();
-    flows_.forEach([start, keepsFlows](AgentFlow &flow) {
+    flows_.forEach([this, keepsFlows](AgentFlow &flow) {
         flow.requestPending = false;
-        flow.targetStartCount = keepsFlows ? start : flow.targetStartCount;
+        // The new start may have opened flows before its first report, so the records do not tell whose flows these
+        // are.
+        if (flow.open && !keepsFlows) {
+            flow.unconfirmed = true;
+            ++counters_.flowsUnconfirmed;
+        }
     });
 }
 
--- a/src/relay/targetflows.h
+++ b/src/relay/targetflows.h
@@ -46,10 +46,10 @@
     void discard(Timestamp now, const FlowTuple &tuple);
 
     /**
-     * Handles a new start of the target: no request is pending any more. If `keepsFlows`, the target has run before the
-     * agent started, and all flows are assigned to `start`.
+     * Handles the first report of a start of the target: no request is pending any more. Unless `keepsFlows`, each flow
+     * may belong to this start or to the one before, which the target's next packet shows.
      */
-    void handleTargetRestart(Timestamp now, std::uint64_t start, bool keepsFlows);
+    void handleTargetRestart(Timestamp now, bool keepsFlows);
 
     /** Records that a new flow was passed to the target. Its request is expected until it arrives or times out. */
     void expectRequest(Timestamp now, const FlowTuple &tuple)
