Place new flows on used ports anew and keep the group of a flow's owner

Cause: a balancer took an opening packet on an address and port with a recorded flow for a retransmission, and forwarded it to the recorded owner with the group that the directory had for that address now, so the agent's check of the group passed.

Fix: a flow's record holds the group of its owner, and packets are forwarded with that group only. An opening packet is a retransmission only with the sequence number of the first one, and not after the caller closed the flow. The same on two related paths: agents let such packets pass the limits of new flows, also while their target drained, and a search for the earlier flow reset the new one. portReused and ports_reused_total show such flows.

--- a/src/node/nodereport.cpp
+++ b/src/node/nodereport.cpp
@@ -37,6 +37,9 @@
         "offers_unanswered_total", "Offers without an answer in time", &RelayBalancerCounters::offersUnanswered},
     CounterRow<RelayBalancerCounters> {
         "flows_opened_total", "Flows that a target opened", &RelayBalancerCounters::flowsOpened},
+    CounterRow<RelayBalancerCounters> {"ports_reused_total",
+                                       "New flows on an address and port with a recorded flow",
+                                       &RelayBalancerCounters::portsReused},
     CounterRow<RelayBalancerCounters> {"refused_unknown_service_total",
                                        "Packets for an address without a service",
                                        &RelayBalancerCounters::refusedUnknownService},
--- a/src/relay/agentflow.h
+++ b/src/relay/agentflow.h
@@ -5,6 +5,7 @@
 #include "wire/peeraddress.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace rhubarblane
 {
@@ -12,6 +13,8 @@
 /** The state of one flow of the local target, as tracked by its agent. */
 struct AgentFlow : RecentFlow {
     PeerAddress balancer; ///< Forwarded the last packet of the flow; port 0 if none did since the agent started.
+    /** Sequence number of the opening packet; no value if the agent has not delivered it. */
+    std::optional<std::uint32_t> openingSequence;
     bool open = false; ///< The target answered the opening packet.
     /** The flow was created by a forwarded packet, and the target has not yet shown whether it holds the flow. */
     bool probed = false;
--- a/src/relay/balancerflow.h
+++ b/src/relay/balancerflow.h
@@ -5,6 +5,8 @@
 #include "relay/recentflows.h"
 #include "wire/peeraddress.h"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 namespace rhubarblane
@@ -14,6 +16,15 @@
 struct BalancerFlow : RecentFlow {
     /** The agent whose target holds the flow, or the receiver of the last offer; port 0 if unknown. */
     PeerAddress owner;
+    /**
+     * The group of the owner when the flow was offered to it or found there. The address may go to a target of another
+     * group later.
+     */
+    GroupId group;
+    /** Sequence number of the opening packet; no value if this balancer has not forwarded it. */
+    std::optional<std::uint32_t> openingSequence;
+    /** The caller has closed or reset the flow. */
+    bool callerClosed = false;
 
     /** An offer of the flow is outstanding. */
     bool offered = false;
--- a/src/relay/flowfinder.cpp
+++ b/src/relay/flowfinder.cpp
@@ -8,6 +8,14 @@
 namespace rhubarblane
 {
 
+namespace
+{
+
+// More than a caller sends on one flow within the seconds for which an opening packet can be late.
+constexpr std::uint32_t MaximumCallerBytes = 1U << 24;
+
+} // namespace
+
 FlowFinder::FlowFinder(RelayBalancerContext &context)
     : context_(context)
     , coverage_(context.started, context.settings.self.incarnation)
@@ -121,14 +129,23 @@
     resetIfLost(tuple);
 }
 
-void FlowFinder::finish(const PeerAddress &owner, const FlowTuple &tuple)
+void FlowFinder::cancelEarlierFlow(const RelayPacket &opening)
+{
+    const FlowSearch *search = searches_.find(opening.flow);
+    // Packets of the opening packet's own flow, which it can arrive after, have slightly higher sequence numbers.
+    if (search != nullptr && search->head.sequence - opening.sequence > MaximumCallerBytes) {
+        searches_.erase(opening.flow);
+    }
+}
+
+void FlowFinder::finish(const FlowTuple &tuple)
 {
-    const KnownTarget *target = context_.targets.find(owner);
+    const BalancerFlow *flow = context_.flows.find(tuple);
     const FlowSearch *search = searches_.find(tuple);
-    if (target != nullptr && search != nullptr) {
+    if (flow != nullptr && context_.ownerOf(*flow) != nullptr && search != nullptr) {
         for (const std::string &packet : search->packets) {
             ++context_.counters.forwarded;
-            context_.forward(owner, target->group, ForwardMode::Known, Milliseconds(0), packet);
+            context_.forward(flow->owner, flow->group, ForwardMode::Known, Milliseconds(0), packet);
         }
     }
     searches_.erase(tuple);
--- a/src/relay/flowfinder.h
+++ b/src/relay/flowfinder.h
@@ -42,8 +42,14 @@
      */
     void handleDenial(Timestamp now, const PeerAddress &agent, const FlowTuple &tuple, FlowPresence presence);
 
-    /** Forwards the buffered packets of a flow to its owner and ends the search. */
-    void finish(const PeerAddress &owner, const FlowTuple &tuple);
+    /** Forwards the buffered packets of a flow to its recorded owner and ends the search. */
+    void finish(const FlowTuple &tuple);
+
+    /**
+     * Ends the search for an earlier flow of the port on which the opening packet begins a new flow, since the search
+     * would reset the new flow or forward packets of the earlier one to its target.
+     */
+    void cancelEarlierFlow(const RelayPacket &opening);
 
     /** Returns the pending search for a flow, or a null pointer. */
     const FlowSearch *find(const FlowTuple &tuple)
--- a/src/relay/flowopener.cpp
+++ b/src/relay/flowopener.cpp
@@ -12,6 +12,8 @@
 
 // A round trip between availability zones takes 3 ms; the rest allows for an agent that waits for its CPU share.
 constexpr Milliseconds OfferTimeout(40);
+// Callers send the last copy of an opening packet 0.6 s after the first one; the rest allows for delays on the way.
+constexpr Milliseconds OpeningPeriod(2000);
 // Agents report within 1 s of the first contact; until then a new balancer does not know all targets.
 constexpr Milliseconds DiscoveryPeriod(1500);
 // Limit on the new flows that wait until a target is known; callers retransmit the packets of further ones. With one
@@ -32,19 +34,43 @@
 {
 }
 
+bool FlowOpener::isNewFlowOfUsedPort(Timestamp now, const RelayPacket &head) const
+{
+    const BalancerFlow *known = context_.flows.find(head.flow);
+    if (known == nullptr) {
+        return false;
+    }
+    const bool repeated =
+        known->openingSequence ? *known->openingSequence == head.sequence : now - known->firstSeen < OpeningPeriod;
+    return known->callerClosed || !repeated;
+}
+
+void FlowOpener::forgetEarlierFlow(Timestamp now, const FlowTuple &tuple)
+{
+    const BalancerFlow &earlier = *context_.flows.find(tuple);
+    ++context_.counters.portsReused;
+    context_.output.logDecision("portReused",
+                                {{"flow", formatFlowTuple(tuple)},
+                                 {"earlierAgent", formatPeerAddress(earlier.owner)},
+                                 {"closed", earlier.callerClosed ? "true" : "false"},
+                                 {"idleMs", std::to_string((now - earlier.lastActive).count())}});
+    context_.flows.erase(tuple);
+}
+
 void FlowOpener::open(Timestamp now, const RelayedService &service, const RelayPacket &head, std::string_view packet)
 {
     BalancerFlow &flow = context_.flows.touch(now, head.flow);
-    const KnownTarget *owner = flow.owner.port == 0 ? nullptr : context_.targets.find(flow.owner);
-    if (owner != nullptr && !owner->offerUnanswered) {
+    const KnownTarget *owner = context_.ownerOf(flow);
+    if (owner != nullptr && !owner->offerUnanswered && service.hasGroup(flow.group)) {
         // A retransmitted opening packet; the target answers it again.
-        context_.forward(flow.owner, owner->group, ForwardMode::Open, acceptedWait(service), packet);
+        context_.forward(flow.owner, flow.group, ForwardMode::Open, acceptedWait(service), packet);
         return;
     }
     if (flow.queued) {
         return;
     }
     flow.openingPacket = std::string(packet);
+    flow.openingSequence = head.sequence;
     flow.history = OfferHistory();
     offerNext(now, flow, "none");
     if (flow.queued) {
@@ -76,6 +102,7 @@
     flow.history.tried.push_back(offer.agent);
     flow.history.lastOfferMade = offer.last;
     flow.owner = offer.agent;
+    flow.group = group.id;
     flow.offered = true;
     flow.offeredAt = now;
     flow.estimate = offer.estimate;
--- a/src/relay/flowopener.h
+++ b/src/relay/flowopener.h
@@ -20,6 +20,14 @@
     /** `context` must outlive the opener. */
     explicit FlowOpener(RelayBalancerContext &context);
 
+    /**
+     * Returns true if an opening packet begins a new flow on an address and port of which an earlier flow is recorded.
+     */
+    bool isNewFlowOfUsedPort(Timestamp now, const RelayPacket &head) const;
+
+    /** Removes the record of the earlier flow of a port that is used again. */
+    void forgetEarlierFlow(Timestamp now, const FlowTuple &tuple);
+
     /** Handles an opening packet (SYN) of a caller or a retransmission of it. */
     void open(Timestamp now, const RelayedService &service, const RelayPacket &head, std::string_view packet);
 
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -170,7 +170,8 @@
                             const wire::relay::Forward &forward,
                             const RelayPacket &head)
 {
-    if (flows_.find(head.flow) != nullptr) {
+    const AgentFlow *known = flows_.find(head.flow);
+    if (known != nullptr && known->openingSequence == head.sequence) {
         // A retransmission of an accepted opening packet; the target answers it again.
         deliver(now, from, forward.packet(), head, valueOf(ForwardMode::Open));
         return;
@@ -192,6 +193,10 @@
         returnPacket(now, from, ReturnReason::Busy, forward.packet());
         return;
     }
+    if (known != nullptr && known->openingSequence) {
+        // The caller uses the port of an earlier flow again.
+        flows_.discard(now, head.flow);
+    }
     flows_.expectRequest(now, head.flow);
     target_.noteOpeningPacketSent(now);
     deliver(now, from, forward.packet(), head, valueOf(ForwardMode::Open));
@@ -205,6 +210,9 @@
     if (known || mode == valueOf(ForwardMode::Open)) {
         AgentFlow &flow = flows_.touch(now, head.flow);
         flow.balancer = from;
+        if (mode == valueOf(ForwardMode::Open)) {
+            flow.openingSequence = head.sequence;
+        }
         if (!flow.probed) {
             flows_.noteCallerPacket(now, flow, head);
         }
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -57,18 +57,25 @@
         return;
     }
     if (opening) {
+        finder_.cancelEarlierFlow(*head);
+        if (opener_.isNewFlowOfUsedPort(now, *head)) {
+            opener_.forgetEarlierFlow(now, head->flow);
+        }
         opener_.open(now, *service, *head, packet);
         return;
     }
     BalancerFlow *flow = context_.flows.find(head->flow);
-    const KnownTarget *owner = flow == nullptr || flow->owner.port == 0 ? nullptr : context_.targets.find(flow->owner);
+    if (flow != nullptr && (head->closing || head->reset)) {
+        flow->callerClosed = true;
+    }
+    const KnownTarget *owner = flow == nullptr ? nullptr : context_.ownerOf(*flow);
     if (owner == nullptr || context_.isSilent(now, *owner)) {
         finder_.search(now, *service, *head, packet, PeerAddress());
         return;
     }
     context_.flows.touch(now, head->flow);
     ++context_.counters.forwarded;
-    context_.forward(flow->owner, owner->group, ForwardMode::Known, Milliseconds(0), packet);
+    context_.forward(flow->owner, flow->group, ForwardMode::Known, Milliseconds(0), packet);
 }
 
 void RelayBalancer::onPeerMessage(Timestamp now, const PeerAddress &from, const wire::relay::Message &message)
@@ -197,8 +204,9 @@
     }
     const RelayedService *service = context_.table->find(head->flow);
     if (service != nullptr) {
-        context_.output.logDecision("flowNotHeld",
-                                    {{"flow", formatFlowTuple(head->flow)}, {"agent", formatPeerAddress(from)}});
+        context_.output.logDecision(
+            "flowNotHeld",
+            {{"flow", formatFlowTuple(head->flow)}, {"agent", formatPeerAddress(from)}, {"reason", nameOf(reason)}});
         finder_.search(now, *service, *head, returned.packet(), from);
     }
 }
@@ -231,7 +239,7 @@
         return;
     }
     setOwner(now, from, answer);
-    finder_.finish(from, tuple);
+    finder_.finish(tuple);
 }
 
 void RelayBalancer::setOwner(Timestamp now, const PeerAddress &agent, const wire::relay::FlowAnswer &answer)
@@ -256,6 +264,7 @@
                                  {"busy", std::to_string(answer.load().busy())},
                                  {"waitedMs", std::to_string((now - since).count())}});
     flow.owner = agent;
+    flow.group = target == nullptr ? GroupId() : target->group;
     flow.offered = false;
     flow.history = OfferHistory();
     flow.openingPacket = std::string();
--- a/src/relay/relaybalancercontext.cpp
+++ b/src/relay/relaybalancercontext.cpp
@@ -44,6 +44,12 @@
     output.sendToPeer(agent, message);
 }
 
+const KnownTarget *RelayBalancerContext::ownerOf(const BalancerFlow &flow) const
+{
+    const KnownTarget *target = flow.owner.port == 0 ? nullptr : targets.find(flow.owner);
+    return target != nullptr && target->group == flow.group ? target : nullptr;
+}
+
 void RelayBalancerContext::resetCaller(const RelayPacket &head)
 {
     output.sendToCaller(head.flow.callerAddress, format.makeReset(head));
--- a/src/relay/relaybalancercontext.h
+++ b/src/relay/relaybalancercontext.h
@@ -39,6 +39,7 @@
     std::uint64_t offersReturned = 0;
     std::uint64_t offersUnanswered = 0;
     std::uint64_t flowsOpened = 0;
+    std::uint64_t portsReused = 0;
     std::uint64_t refusedUnknownService = 0;
     std::uint64_t refusedNoTarget = 0;
     std::uint64_t refusedOverload = 0;
@@ -62,6 +63,9 @@
     /** Sends a caller's packet to an agent. `wait` is the maximum time that a new flow may wait there for a slot. */
     void forward(const PeerAddress &agent, GroupId group, ForwardMode mode, Milliseconds wait, std::string_view packet);
 
+    /** Returns the owner of a flow, or a null pointer if it is unknown or its address has gone to another group. */
+    const KnownTarget *ownerOf(const BalancerFlow &flow) const;
+
     /** Answers a caller's packet with a reset. */
     void resetCaller(const RelayPacket &head);
 
--- a/src/relay/servicetable.cpp
+++ b/src/relay/servicetable.cpp
@@ -106,6 +106,11 @@
     });
 }
 
+bool RelayedService::hasGroup(GroupId group) const
+{
+    return std::any_of(groups.begin(), groups.end(), [group](const WeightedGroup &own) { return own.id == group; });
+}
+
 const RelayedService *ServiceTable::find(const FlowTuple &flow) const
 {
     const auto found = services.find(PeerAddress {flow.serviceAddress, flow.servicePort});
--- a/src/relay/servicetable.h
+++ b/src/relay/servicetable.h
@@ -37,6 +37,8 @@
 
     /** Returns the group of a new flow, which is the same on every balancer. The service must have a group. */
     const WeightedGroup &groupOf(const FlowTuple &flow) const;
+
+    bool hasGroup(GroupId group) const;
 };
 
 /** One version of the operators' configuration for relayed flows. */
--- a/src/tests/relayagenttest.cpp
+++ b/src/tests/relayagenttest.cpp
@@ -226,6 +226,25 @@
     BOOST_TEST(output.toTarget.size() == 1u);
 }
 
+// Guards against a new flow on a used port that is taken for a copy of the earlier opening packet, and so passes the
+// limits of new flows: it would reach a draining target.
+BOOST_AUTO_TEST_CASE(agentWithNewFlowOnUsedPortAppliesLimitsOfNewFlows)
+{
+    forward(caller.opening(5), ForwardMode::Open);
+    agent.onTargetPacket(now, caller.answer(true, 0));
+    report(2, 5000, true);
+    output.clear();
+    forward(caller.opening(5), ForwardMode::Open);
+    BOOST_TEST(output.toTarget.size() == 1u);
+    BOOST_TEST(!returned().has_value());
+    forward(caller.opening(900), ForwardMode::Open);
+    BOOST_TEST(output.toTarget.size() == 1u);
+    BOOST_TEST((returned() == ReturnReason::NotReady));
+    // The earlier flow may still be open if the opening packet was a late one.
+    forward(caller.data(6), ForwardMode::Known);
+    BOOST_TEST(output.toTarget.size() == 2u);
+}
+
 // Guards against late reports that make a draining target ready again.
 BOOST_AUTO_TEST_CASE(agentWithLateReportKeepsNewerState)
 {
--- a/src/tests/relaybalancertest.cpp
+++ b/src/tests/relaybalancertest.cpp
@@ -282,6 +282,66 @@
     BOOST_TEST((forwarded()[0] == forwarded()[1]));
 }
 
+// Guards against a new flow that its caller opens on a used port and that is taken for the earlier one: it would reach
+// the target of the earlier flow, also if that is draining, or be lost (review/1).
+BOOST_AUTO_TEST_CASE(balancerWithNewFlowOnUsedPortPlacesItAnew)
+{
+    discoverAll();
+    balancer.onCallerPacket(now, caller.opening(5));
+    const PeerAddress owner = forwarded().at(0);
+    answer(owner == first.address ? first : second, caller, FlowPresence::Opened);
+    balancer.onCallerPacket(now, caller.data(6));
+    // The agent of the earlier flow sends nothing more, so a repeated opening packet goes to it and a new one does not.
+    for (int i = 0; i < 8; ++i) {
+        advance(500);
+        report(owner == first.address ? second : first, 3 + static_cast<std::uint64_t>(i));
+    }
+    output.clear();
+    balancer.onCallerPacket(now, caller.opening(900));
+    BOOST_REQUIRE(forwarded().size() == 1u);
+    BOOST_TEST((forwarded()[0] != owner));
+    BOOST_TEST(output.hasDecision("portReused"));
+    balancer.onCallerPacket(now, caller.opening(900));
+    BOOST_REQUIRE(forwarded().size() == 2u);
+    BOOST_TEST((forwarded()[1] == forwarded()[0]));
+}
+
+// Guards against a search for an earlier flow of the port that resets the new one.
+BOOST_AUTO_TEST_CASE(balancerWithNewFlowOnUsedPortEndsSearchForEarlierOne)
+{
+    discoverAll();
+    balancer.onCallerPacket(now, caller.opening(5));
+    const Peer &owner = forwarded().at(0) == first.address ? first : second;
+    answer(owner, caller, FlowPresence::Opened);
+    answer(owner, caller, FlowPresence::Absent);
+    balancer.onCallerPacket(now, caller.data(6));
+    BOOST_TEST(balancer.searches() == 1u);
+    balancer.onCallerPacket(now, caller.opening(900));
+    answer(first, caller, FlowPresence::Absent);
+    answer(second, caller, FlowPresence::Absent);
+    BOOST_TEST(output.toCallers.empty());
+}
+
+// Guards against packets for the address of a flow's target that now belongs to a target of another group.
+BOOST_AUTO_TEST_CASE(balancerWhoseOwnerAddressWentToOtherGroupSearchesForFlow)
+{
+    discoverAll();
+    balancer.onCallerPacket(now, caller.opening(5));
+    const Peer owner = forwarded().at(0) == first.address ? first : second;
+    answer(owner, caller, FlowPresence::Opened);
+    Peer replacement = owner;
+    replacement.name = "agent-9";
+    report(replacement, 1, TargetState::Ready, "intake");
+    output.clear();
+    balancer.onCallerPacket(now, caller.data(6));
+    BOOST_TEST(forwarded().empty());
+    BOOST_TEST(queried().size() == 1u);
+    // Also a copy of the opening packet that arrives late.
+    balancer.onCallerPacket(now, caller.opening(5));
+    BOOST_REQUIRE(forwarded().size() == 1u);
+    BOOST_TEST((forwarded()[0] != owner.address));
+}
+
 // Guards against a delay until the caller retransmits its opening packet when an agent has crashed.
 BOOST_AUTO_TEST_CASE(balancerWithUnansweredOfferTriesNextTarget)
 {
--- a/src/tests/relaypathtest.cpp
+++ b/src/tests/relaypathtest.cpp
@@ -155,6 +155,29 @@
     compareWithGolden("relay-address-reused.txt");
 }
 
+// Guards against a new flow on a port that its caller uses again, which reaches a target of another service at the
+// address of the earlier flow's target (review/1).
+BOOST_AUTO_TEST_CASE(pathWithReusedAddressAndPortReachesNoTargetOfOtherService)
+{
+    openWithRequest(*balancers[0], 4001);
+    RelaySimulation::Vm &owner = ownerOf(4001);
+    owner.running = false;
+    owner.target = {"intake-1", "intake", simulation.now().milliseconds(), 0, true, false, false, {}, 0};
+    owner.peer.name = "agent-9";
+    simulation.startAgent(owner);
+    simulation.run(3000);
+    // The first balancer has a record of the earlier flow with its opening packet, the second one has found the flow.
+    for (RelaySimulation::Vm *balancer : balancers) {
+        simulation.send(*balancer, RelayCaller(4001).opening(77));
+        simulation.run(100);
+        simulation.send(*balancer, RelayCaller(4001).data(77));
+        simulation.run(100);
+    }
+    BOOST_TEST(owner.target.requests == 0u);
+    BOOST_TEST(owner.target.flows.empty());
+    BOOST_TEST(simulation.answers == 3);
+}
+
 // Guards against a balancer that started without the store and cannot serve until the store returns.
 BOOST_AUTO_TEST_CASE(pathWithBalancerStartedWithoutStoreServesFromPeers)
 {
--- a/src/tests/relaysimulation.h
+++ b/src/tests/relaysimulation.h
@@ -168,10 +168,11 @@
         return bytes;
     }
 
-    std::string opening() const
+    std::string opening(std::uint32_t sequence = 0) const
     {
         PlainPacketFormat::Bytes bytes = head();
         bytes.opening = true;
+        bytes.sequence = sequence;
         return PlainPacketFormat::encode(bytes);
     }
 
