Return what became of a new flow instead of reading its record

FlowOpener::open() read flow.queued after offerNext() may have erased the record through refuse(). Callers saw nothing in the normal build; the review saw an address sanitizer abort the balancer on the first refused flow. That run was not repeated here.

offerNext() and refuse() now return Offered, Queued or Refused, so no caller needs the record afterwards. The other callers of offerNext() and FlowFinder::resetIfLost() were read: none uses a record after the call that may erase it.

--- a/src/relay/flowopener.cpp
+++ b/src/relay/flowopener.cpp
@@ -72,8 +72,7 @@
     flow.openingPacket = std::string(packet);
     flow.openingSequence = head.sequence;
     flow.history = OfferHistory();
-    offerNext(now, flow, "none");
-    if (flow.queued) {
+    if (offerNext(now, flow, "none") == Placement::Queued) {
         context_.output.logDecision("flowWaiting",
                                     {{"flow", formatFlowTuple(head.flow)},
                                      {"reason", nameOf(Refusal::NoTarget)},
@@ -82,20 +81,18 @@
     }
 }
 
-void FlowOpener::offerNext(Timestamp now, BalancerFlow &flow, std::string_view lastReturn)
+FlowOpener::Placement FlowOpener::offerNext(Timestamp now, BalancerFlow &flow, std::string_view lastReturn)
 {
     const RelayedService *service = context_.table->find(flow.tuple);
     if (service == nullptr) {
         // A newer table without the service was applied while the flow was opening.
-        refuse(now, flow, Refusal::NoTarget, lastReturn);
-        return;
+        return refuse(now, flow, Refusal::NoTarget, lastReturn);
     }
     const WeightedGroup &group = service->groupOf(flow.tuple);
     const std::variant<Offer, Refusal> next =
         placement_.next(now, context_.targets.ofGroup(group.id), flow.history, acceptedWait(*service));
     if (const Refusal *refusal = std::get_if<Refusal>(&next)) {
-        refuse(now, flow, *refusal, lastReturn);
-        return;
+        return refuse(now, flow, *refusal, lastReturn);
     }
     const Offer &offer = std::get<Offer>(next);
     ++context_.counters.offers;
@@ -109,16 +106,18 @@
     offers_.emplace_back(flow.tuple, now);
     context_.targets.noteOffer(offer.agent);
     context_.forward(offer.agent, group.id, ForwardMode::Open, offer.acceptedWait, flow.openingPacket);
+    return Placement::Offered;
 }
 
-void FlowOpener::refuse(Timestamp now, BalancerFlow &flow, Refusal refusal, std::string_view lastReturn)
+FlowOpener::Placement
+FlowOpener::refuse(Timestamp now, BalancerFlow &flow, Refusal refusal, std::string_view lastReturn)
 {
     const FlowTuple tuple = flow.tuple;
     const std::optional<RelayPacket> head = context_.format.decode(flow.openingPacket, PacketOrigin::Caller);
     const bool discovering = refusal == Refusal::NoTarget && now - context_.started < DiscoveryPeriod;
     if (discovering && queuedFlows_.size() < MaximumQueuedFlows) {
         enqueue(flow);
-        return;
+        return Placement::Queued;
     }
     ++(discovering                        ? context_.counters.droppedNoTarget
            : refusal == Refusal::NoTarget ? context_.counters.refusedNoTarget
@@ -135,6 +134,7 @@
     if (head && !discovering) {
         context_.resetCaller(*head);
     }
+    return Placement::Refused;
 }
 
 void FlowOpener::enqueue(BalancerFlow &flow)
--- a/src/relay/flowopener.h
+++ b/src/relay/flowopener.h
@@ -38,11 +38,17 @@
     void onTick(Timestamp now, Timestamp messagesRead);
 
 private:
+    enum class Placement {
+        Offered,
+        Queued,
+        Refused, ///< The record of the flow has been erased.
+    };
+
     /**
      * Offers a new flow to the next target; `lastReturn` is the logged reason why the last target did not accept it.
      */
-    void offerNext(Timestamp now, BalancerFlow &flow, std::string_view lastReturn);
-    void refuse(Timestamp now, BalancerFlow &flow, Refusal refusal, std::string_view lastReturn);
+    Placement offerNext(Timestamp now, BalancerFlow &flow, std::string_view lastReturn);
+    Placement refuse(Timestamp now, BalancerFlow &flow, Refusal refusal, std::string_view lastReturn);
     /** Queues a new flow until the balancer knows targets. */
     void enqueue(BalancerFlow &flow);
     /** Offers the flows that were queued because no target was known. */
