Treat no flow as lost while an agent of its service is silent

Cause: a search did not wait for agents that had been silent for 5 s, and still counted as complete. 15 s after its last message an agent expired, and searches did not know of it at all.

Evidence: peerLeft with targetEnded=false, then flowLost with outcome=reset for flows of that agent's target.

Fix: a search proves a flow lost only if each agent of the service answers or has announced the end of its target. While one is silent, and for 60 s after the last message of one that expired, the flow stays undecided. The new test fails on the code before, 6 s after the agent left.

--- a/src/relay/flowfinder.cpp
+++ b/src/relay/flowfinder.cpp
@@ -2,6 +2,7 @@
 
 #include "relay/relayflow.h"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -48,7 +49,7 @@
 {
     FlowSearch &search = *searches_.find(tuple);
     search.undecided = false;
-    search.coversAllAgents = knowsAllAgents(now);
+    search.coversAllAgents = mayProveLoss(now, service);
     bool anyAgent = false;
     wire::relay::Message message;
     *message.mutable_flow_query()->mutable_flow() = toRelayFlow(tuple);
@@ -77,14 +78,14 @@
 void FlowFinder::onTick(Timestamp now)
 {
     const std::vector<FlowTuple> undecided = searches_.undecided();
-    if (undecided.empty() || !context_.table || !knowsAllAgents(now)) {
+    if (undecided.empty() || !context_.table) {
         return;
     }
     for (const FlowTuple &tuple : undecided) {
         const RelayedService *service = context_.table->find(tuple);
         if (service == nullptr) {
             searches_.erase(tuple);
-        } else {
+        } else if (mayProveLoss(now, *service)) {
             askAgents(now, *service, tuple, PeerAddress());
         }
     }
@@ -151,9 +152,19 @@
     searches_.erase(tuple);
 }
 
-bool FlowFinder::knowsAllAgents(Timestamp now) const
+bool FlowFinder::mayProveLoss(Timestamp now, const RelayedService &service) const
 {
-    return coverage_.isComplete(now, context_.peers.directory(), context_.targets);
+    if (!coverage_.isComplete(now, context_.peers.directory(), context_.targets)) {
+        return false;
+    }
+    // An agent that is only silent, or has expired, may have left beside a target that still runs.
+    return std::all_of(service.groups.begin(), service.groups.end(), [&](const WeightedGroup &group) {
+        const std::vector<const KnownTarget *> targets = context_.targets.ofGroup(group.id);
+        return !context_.targets.mayHaveVanished(now, group.id)
+            && std::none_of(targets.begin(), targets.end(), [&](const KnownTarget *target) {
+                   return context_.isSilent(now, *target);
+               });
+    });
 }
 
 } // namespace rhubarblane
--- a/src/relay/flowfinder.h
+++ b/src/relay/flowfinder.h
@@ -74,7 +74,11 @@
     void askAgents(Timestamp now, const RelayedService &service, const FlowTuple &tuple, const PeerAddress &except);
     /** Resets the caller if no queried agent holds the flow and all agents were known when the search began. */
     void resetIfLost(const FlowTuple &tuple);
-    bool knowsAllAgents(Timestamp now) const;
+    /**
+     * Returns true if a flow that all agents of the service deny is lost: all agents are known, and each of them
+     * answers or has announced the end of its target.
+     */
+    bool mayProveLoss(Timestamp now, const RelayedService &service) const;
 
     RelayBalancerContext &context_;
     AgentCoverage coverage_;
--- a/src/relay/targetdirectory.cpp
+++ b/src/relay/targetdirectory.cpp
@@ -1,5 +1,7 @@
 #include "relay/targetdirectory.h"
 
+#include "relay/flowretention.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -122,12 +124,19 @@
             continue;
         }
         expired.push_back(target->second.agent);
+        vanished_[target->second.group] = target->second.lastContact;
         removeFromGroup(target->second);
         target = targets_.erase(target);
     }
     return expired;
 }
 
+bool TargetDirectory::mayHaveVanished(Timestamp now, GroupId group) const
+{
+    const auto found = vanished_.find(group);
+    return found != vanished_.end() && now - found->second < FlowRetention;
+}
+
 const KnownTarget *TargetDirectory::find(const PeerAddress &agent) const
 {
     const auto found = targets_.find(agent);
--- a/src/relay/targetdirectory.h
+++ b/src/relay/targetdirectory.h
@@ -62,6 +62,12 @@
     /** Removes the targets whose agents sent no message for the retention period, and returns these agents. */
     std::vector<Peer> expire(Timestamp now);
 
+    /**
+     * Returns true if a target of the group has expired, whose end nobody announced, while flows that it may hold are
+     * not older than the maximum age of a flow.
+     */
+    bool mayHaveVanished(Timestamp now, GroupId group) const;
+
     const KnownTarget *find(const PeerAddress &agent) const;
 
     /** Returns all known targets of a group. The pointers are valid until the next change. */
@@ -87,6 +93,8 @@
     std::string availabilityZone_;
     std::map<PeerAddress, KnownTarget> targets_;
     std::unordered_map<GroupId, std::vector<PeerAddress>> groups_;
+    /** Time of the last message of the target that expired last, by group. */
+    std::unordered_map<GroupId, Timestamp> vanished_;
 };
 
 } // namespace rhubarblane
--- a/src/tests/relaybalancertest.cpp
+++ b/src/tests/relaybalancertest.cpp
@@ -82,6 +82,33 @@
         return result;
     }
 
+    /** Notifies the balancer that an agent exits. */
+    void leave(const Peer &agent, bool targetEnded)
+    {
+        wire::relay::Message message;
+        *message.mutable_hello()->mutable_sender() = toWire(agent);
+        message.mutable_hello()->set_leaving(true);
+        message.mutable_hello()->set_target_ended(targetEnded);
+        balancer.onPeerMessage(now, agent.address, message);
+    }
+
+    /** Sends a packet of a flow of which the second agent holds nothing, and lets that agent deny the flow. */
+    void searchDeniedBySecond()
+    {
+        balancer.onCallerPacket(now, caller.data(1));
+        answer(second, caller, FlowPresence::Absent);
+    }
+
+    /** Advances the time while only the second agent sends reports. */
+    void advanceWithSecond(std::int64_t seconds)
+    {
+        for (std::int64_t i = 0; i < seconds; ++i) {
+            report(second, ++secondSequence);
+            advance(1000);
+        }
+        report(second, ++secondSequence);
+    }
+
     void advance(std::int64_t milliseconds)
     {
         const Timestamp end = now + Milliseconds(milliseconds);
@@ -109,6 +136,7 @@
     RelayBalancer balancer {{relayPeer("balancer-1", PeerRole::Balancer, 1), {}, 1000, 1}, now, format, output};
     Peer first = relayPeer("agent-1", PeerRole::Agent, 11);
     Peer second = relayPeer("agent-2", PeerRole::Agent, 12);
+    std::uint64_t secondSequence = 100;
     RelayCaller caller {40001};
 };
 
@@ -626,6 +654,35 @@
     BOOST_TEST(forwarded().size() + queried().size() > 0u);
 }
 
+// Guards against the reset of a flow whose agent left for good while its target runs (review/5). Neither the silence of
+// an agent nor its expiry proves that its target has ended.
+BOOST_AUTO_TEST_CASE(balancerWithAgentThatLeftBesideLivingTargetDoesNotResetFlow)
+{
+    discoverAll();
+    answer(first, caller, FlowPresence::Opened);
+    leave(first, false);
+    constexpr std::int64_t MaximumFlowAgeSeconds = 60;
+    for (std::int64_t elapsed = 2; elapsed < MaximumFlowAgeSeconds; elapsed += 2) {
+        advanceWithSecond(2);
+        searchDeniedBySecond();
+        BOOST_REQUIRE_MESSAGE(output.toCallers.empty(), "after " << elapsed << " s");
+    }
+    // No flow of the agent is left.
+    advanceWithSecond(4);
+    searchDeniedBySecond();
+    BOOST_TEST(output.toCallers.size() == 1u);
+}
+
+// Guards against callers that wait for a flow whose target has announced its end.
+BOOST_AUTO_TEST_CASE(balancerWithAgentThatLeftAfterItsTargetResetsFlow)
+{
+    discoverAll();
+    answer(first, caller, FlowPresence::Opened);
+    leave(first, true);
+    searchDeniedBySecond();
+    BOOST_TEST(output.toCallers.size() == 1u);
+}
+
 // Guards against a late report of an earlier incarnation that replaces the state of the current one.
 BOOST_AUTO_TEST_CASE(balancerWithReportOfEarlierStartKeepsLaterOne)
 {
