--- a/src/tests/relayagenttest.cpp
+++ b/src/tests/relayagenttest.cpp
@@ -286,8 +286,8 @@
     BOOST_TEST((agent.state(now) == TargetState::Draining));
 }
 
-// Guards against a late report of an earlier start that replaces the state of a target that has just left or has
-// not reported for long.
+// Guards against a new target that must report twice although the one before has left or has not reported for long, and
+// against late reports of replaced starts at that time.
 BOOST_AUTO_TEST_CASE(agentWithTargetThatEndedAppliesReportOfNextStartImmediately)
 {
     BOOST_TEST(report(1, 8000));
