Find the owners of unknown flows by lists that agents send

What callers saw: after a loss of power of all VMs service came back slowly.

Cause: each packet of a flow whose owner a balancer does not know sent a query to all 35 agents of the group. Small balancers (0.09 of a core) handled 4,500 to 7,000 messages a second for flows that no target held any more, and a search that took longer than 60 ms threw away the denials that it had.

Change: balancers ask each agent for the list of its flows, in rounds whose rate does not depend on the number of unknown flows. A list that was requested after the packet denies the flow; an agent that lists the flow is asked for it alone. What agents told and denied is kept. The conditions for a reset (all agents known, none silent) are the same.

--- a/src/node/nodereport.cpp
+++ b/src/node/nodereport.cpp
@@ -29,7 +29,13 @@
     CounterRow<RelayBalancerCounters> {
         "packets_forwarded_total", "Packets sent to a known owner", &RelayBalancerCounters::forwarded},
     CounterRow<RelayBalancerCounters> {
-        "searches_total", "Packets sent to all agents of a group", &RelayBalancerCounters::searches},
+        "searches_total", "Searches for the owner of a flow", &RelayBalancerCounters::searches},
+    CounterRow<RelayBalancerCounters> {
+        "flow_queries_total", "Queries to one agent for one flow", &RelayBalancerCounters::flowQueries},
+    CounterRow<RelayBalancerCounters> {
+        "flow_list_requests_total", "Requests for an agent's list of flows", &RelayBalancerCounters::flowListRequests},
+    CounterRow<RelayBalancerCounters> {
+        "flow_lists_total", "Complete lists of flows received", &RelayBalancerCounters::flowLists},
     CounterRow<RelayBalancerCounters> {"offers_total", "New flows offered to agents", &RelayBalancerCounters::offers},
     CounterRow<RelayBalancerCounters> {
         "offers_returned_total", "Offers that agents returned", &RelayBalancerCounters::offersReturned},
@@ -85,6 +91,8 @@
         "searches_delivered_total", "Searched packets delivered", &RelayAgentCounters::searchesDelivered},
     CounterRow<RelayAgentCounters> {
         "searches_absent_total", "Searches for flows of other targets", &RelayAgentCounters::searchesAbsent},
+    CounterRow<RelayAgentCounters> {
+        "flow_lists_sent_total", "Lists of flows sent to balancers", &RelayAgentCounters::flowListsSent},
     CounterRow<RelayAgentCounters> {"resets_dropped_total",
                                     "Resets of the target for flows that it does not hold",
                                     &RelayAgentCounters::resetsDropped},
@@ -141,6 +149,7 @@
                "Time since any balancer compared the table with the store, -1 if none did",
                static_cast<double>(core.tableCheckAge(now).value_or(Milliseconds(-1)).count()));
     text.gauge("flows", "Flows whose owner is remembered", static_cast<double>(core.flows()));
+    text.gauge("listed_flows", "Flows that agents have listed", static_cast<double>(core.listedFlows()));
     text.gauge("targets", "Targets that report", static_cast<double>(core.targets().size()));
     text.histogram("flow_open_seconds", "Time from the first packet to the opened flow", core.openTimes());
     addSockets(text, sockets);
--- a/src/relay/agentflow.h
+++ b/src/relay/agentflow.h
@@ -12,6 +12,7 @@
 
 /** The state of one flow of the local target, as tracked by its agent. */
 struct AgentFlow : RecentFlow {
+    std::uint64_t number = 0; ///< Position of the record in the order in which the agent created its records.
     PeerAddress balancer; ///< Forwarded the last packet of the flow; port 0 if none did since the agent started.
     /** Sequence number of the opening packet; no value if the agent has not delivered it. */
     std::optional<std::uint32_t> openingSequence;
--- a/src/relay/flowfinder.cpp
+++ b/src/relay/flowfinder.cpp
@@ -3,7 +3,10 @@
 #include "relay/relayflow.h"
 
 #include <algorithm>
+#include <map>
+#include <optional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace rhubarblane
@@ -14,6 +17,10 @@
 
 // More than a caller sends on one flow within the seconds for which an opening packet can be late.
 constexpr std::uint32_t MaximumCallerBytes = 1U << 24;
+// A round trip between availability zones takes 3 ms; the rest allows for agents that wait for their CPU share.
+constexpr Milliseconds AnswerTimeout(60);
+// Longer than a round of list requests with a repetition. Callers retransmit a packet after at most 1.6 s.
+constexpr Milliseconds SearchPeriod(1000);
 
 } // namespace
 
@@ -29,105 +36,217 @@
                         std::string_view packet,
                         const PeerAddress &except)
 {
-    FlowSearch *pending = searches_.find(head.flow);
-    if (pending != nullptr && !FlowSearches::isOverdue(now, *pending)) {
-        FlowSearches::addPacket(*pending, head, packet);
-        return;
-    }
-    if (pending == nullptr && searches_.isFull()) {
+    FlowSearch *search = searches_.find(head.flow);
+    if (search == nullptr && searches_.isFull()) {
         ++context_.counters.droppedNoFlow;
         return;
     }
-    searches_.start(now, head, packet);
-    askAgents(now, service, head.flow, except);
+    if (search != nullptr && !search->undecided && now - search->started < SearchPeriod) {
+        FlowSearches::addPacket(*search, head, packet);
+    } else {
+        // Denials of an old search may concern an earlier flow of the port.
+        ++context_.counters.searches;
+        search = &searches_.start(now, head, packet);
+    }
+    if (except.port != 0) {
+        search->denied.insert(except);
+        index_.erase(except, flowHashOf(head.flow));
+    }
+    evaluate(now, service, head.flow);
+    sendListRequests(now);
 }
 
-void FlowFinder::askAgents(Timestamp now,
-                           const RelayedService &service,
-                           const FlowTuple &tuple,
-                           const PeerAddress &except)
+void FlowFinder::evaluate(Timestamp now, const RelayedService &service, const FlowTuple &tuple)
 {
     FlowSearch &search = *searches_.find(tuple);
-    search.undecided = false;
-    search.coversAllAgents = mayProveLoss(now, service);
+    search.nextEvaluation = now + AnswerTimeout;
+    const FlowHash hash = flowHashOf(tuple);
     bool anyAgent = false;
-    wire::relay::Message message;
-    *message.mutable_flow_query()->mutable_flow() = toRelayFlow(tuple);
+    bool denied = true;
     for (const WeightedGroup &group : service.groups) {
-        message.mutable_flow_query()->set_group(group.id.value());
         for (const KnownTarget *target : context_.targets.ofGroup(group.id)) {
             anyAgent = true;
             const PeerAddress &agent = target->agent.address;
-            if (agent == except) {
+            if (search.denied.count(agent) > 0) {
                 continue;
             }
-            if (!context_.isSilent(now, *target)) {
-                search.unanswered.insert(agent);
+            const FlowIndex::Knowledge knowledge = index_.find(agent, hash, search.started);
+            if (knowledge == FlowIndex::Knowledge::Absent) {
+                continue;
+            }
+            denied = false;
+            if (knowledge != FlowIndex::Knowledge::Unknown) {
+                ask(now, search, agent, group.id);
+            }
+            if (index_.completeAsOf(agent) < search.started) {
+                index_.request(agent, group.id, search.started);
             }
-            context_.output.sendToPeer(agent, message);
         }
     }
-    if (!anyAgent) {
+    if (!denied) {
+        search.undecided = false;
+    } else if (anyAgent) {
+        conclude(now, service, search);
+    } else {
         FlowSearches::markUndecided(search);
-        return;
     }
-    ++context_.counters.searches;
-    resetIfLost(tuple);
 }
 
-void FlowFinder::onTick(Timestamp now)
+void FlowFinder::ask(Timestamp now, FlowSearch &search, const PeerAddress &agent, GroupId group)
 {
-    const std::vector<FlowTuple> undecided = searches_.undecided();
-    if (undecided.empty() || !context_.table) {
+    const auto [position, first] = search.asked.try_emplace(agent, now);
+    if (!first && now - position->second < AnswerTimeout) {
         return;
     }
-    for (const FlowTuple &tuple : undecided) {
-        const RelayedService *service = context_.table->find(tuple);
-        if (service == nullptr) {
-            searches_.erase(tuple);
-        } else if (mayProveLoss(now, *service)) {
-            askAgents(now, *service, tuple, PeerAddress());
-        }
-    }
+    position->second = now;
+    ++context_.counters.flowQueries;
+    wire::relay::Message message;
+    message.mutable_flow_query()->set_group(group.value());
+    *message.mutable_flow_query()->mutable_flow() = toRelayFlow(search.head.flow);
+    context_.output.sendToPeer(agent, message);
 }
 
-void FlowFinder::resetIfLost(const FlowTuple &tuple)
+void FlowFinder::conclude(Timestamp now, const RelayedService &service, FlowSearch &search)
 {
-    FlowSearch *search = searches_.find(tuple);
-    if (search == nullptr || !search->unanswered.empty()) {
+    const bool certain = mayProveLoss(now, service);
+    if (!certain && search.undecided) {
         return;
     }
-    const RelayPacket head = search->head;
-    const bool certain = search->coversAllAgents;
+    const RelayPacket head = search.head;
     context_.output.logDecision("flowLost",
-                                {{"flow", formatFlowTuple(tuple)},
+                                {{"flow", formatFlowTuple(head.flow)},
                                  {"targets", std::to_string(context_.targets.size())},
+                                 {"asked", std::to_string(search.asked.size())},
+                                 {"searchedMs", std::to_string((now - search.started).count())},
                                  {"outcome", certain ? "reset" : "undecided"}});
     if (!certain) {
-        FlowSearches::markUndecided(*search);
+        FlowSearches::markUndecided(search);
         return;
     }
-    searches_.erase(tuple);
+    searches_.erase(head.flow);
     if (!head.reset) {
         ++context_.counters.flowsLost;
         context_.resetCaller(head);
     }
 }
 
-void FlowFinder::handleDenial(Timestamp now, const PeerAddress &agent, const FlowTuple &tuple, FlowPresence presence)
+void FlowFinder::onTick(Timestamp now)
 {
-    FlowSearch *search = searches_.find(tuple);
-    if (search == nullptr) {
+    sendListRequests(now);
+    evaluateCovered(now);
+}
+
+void FlowFinder::expire(Timestamp now)
+{
+    searches_.expire(now);
+    index_.retain([this](const PeerAddress &agent) { return context_.targets.find(agent) != nullptr; });
+}
+
+void FlowFinder::evaluateCovered(Timestamp now)
+{
+    if (searches_.size() == 0 || !context_.table) {
         return;
     }
+    struct ServiceState {
+        std::optional<Timestamp> completeAsOf;
+        bool mayProveLoss = false;
+    };
+    std::map<const RelayedService *, ServiceState> states;
+    const auto isReady = [&](const FlowSearch &search) {
+        const RelayedService *service = context_.table->find(search.head.flow);
+        if (service == nullptr) {
+            return true;
+        }
+        const auto [state, first] = states.try_emplace(service);
+        if (first) {
+            state->second = ServiceState {completeAsOf(*service), mayProveLoss(now, *service)};
+        }
+        if (search.undecided) {
+            return state->second.mayProveLoss;
+        }
+        const std::optional<Timestamp> &complete = state->second.completeAsOf;
+        return complete >= search.started && (complete > search.evaluatedAsOf || now >= search.nextEvaluation);
+    };
+    for (const FlowTuple &tuple : searches_.matching(isReady)) {
+        const RelayedService *service = context_.table->find(tuple);
+        if (service == nullptr) {
+            searches_.erase(tuple);
+        } else {
+            searches_.find(tuple)->evaluatedAsOf = states[service].completeAsOf.value_or(Timestamp());
+            evaluate(now, *service, tuple);
+        }
+    }
+}
+
+std::optional<Timestamp> FlowFinder::completeAsOf(const RelayedService &service) const
+{
+    std::optional<Timestamp> earliest;
+    for (const WeightedGroup &group : service.groups) {
+        for (const KnownTarget *target : context_.targets.ofGroup(group.id)) {
+            const PeerAddress &agent = target->agent.address;
+            if (index_.sendsNoLists(agent)) {
+                continue;
+            }
+            const std::optional<Timestamp> complete = index_.completeAsOf(agent);
+            if (!complete) {
+                return std::nullopt;
+            }
+            earliest = std::min(earliest.value_or(*complete), *complete);
+        }
+    }
+    return earliest;
+}
+
+void FlowFinder::sendListRequests(Timestamp now)
+{
+    index_.sendDue(
+        now, context_.targets.size(), [this](const PeerAddress &agent, const wire::relay::FlowListRequest &request) {
+            ++context_.counters.flowListRequests;
+            wire::relay::Message message;
+            *message.mutable_flow_list_request() = request;
+            context_.output.sendToPeer(agent, message);
+        });
+}
+
+void FlowFinder::handleList(Timestamp now, const PeerAddress &agent, const wire::relay::FlowList &part)
+{
+    const std::optional<std::vector<FlowHash>> told = index_.add(agent, part);
     const KnownTarget *target = context_.targets.find(agent);
-    if (presence == FlowPresence::Uncertain && target != nullptr) {
-        // The target's answer to a packet of the flow shows whether it holds the flow.
-        context_.forward(agent, target->group, ForwardMode::Search, Milliseconds(0), search->packets.front());
+    if (!told || target == nullptr) {
         return;
     }
-    search->unanswered.erase(agent);
-    resetIfLost(tuple);
+    ++context_.counters.flowLists;
+    if (!told->empty()) {
+        const std::unordered_set<FlowHash> listed(told->begin(), told->end());
+        const auto isListed = [&listed](const FlowSearch &search) {
+            return listed.count(flowHashOf(search.head.flow)) > 0;
+        };
+        for (const FlowTuple &tuple : searches_.matching(isListed)) {
+            ask(now, *searches_.find(tuple), agent, target->group);
+        }
+    }
+    if (index_.isIdle()) {
+        evaluateCovered(now);
+    }
+}
+
+void FlowFinder::handleDenial(Timestamp now, const PeerAddress &agent, const FlowTuple &tuple, FlowPresence presence)
+{
+    FlowSearch *search = searches_.find(tuple);
+    const KnownTarget *target = context_.targets.find(agent);
+    if (presence == FlowPresence::Uncertain) {
+        if (search != nullptr && target != nullptr) {
+            // The target's answer to a packet of the flow shows whether it holds the flow.
+            context_.forward(agent, target->group, ForwardMode::Search, Milliseconds(0), search->packets.front());
+        }
+        return;
+    }
+    index_.erase(agent, flowHashOf(tuple));
+    const RelayedService *service = context_.table ? context_.table->find(tuple) : nullptr;
+    if (search != nullptr && service != nullptr) {
+        search->denied.insert(agent);
+        evaluate(now, *service, tuple);
+    }
 }
 
 void FlowFinder::cancelEarlierFlow(const RelayPacket &opening)
--- a/src/relay/flowfinder.h
+++ b/src/relay/flowfinder.h
@@ -3,17 +3,20 @@
 
 #include "base/clock.h"
 #include "relay/agentcoverage.h"
+#include "relay/flowindex.h"
 #include "relay/flowsearches.h"
 #include "relay/relaybalancercontext.h"
 
 #include <cstddef>
+#include <optional>
 #include <string_view>
 
 namespace rhubarblane
 {
 
 /**
- * Finds the owners of open flows by querying all agents of a service, and resets callers whose flows no target holds.
+ * Finds the owners of open flows by the lists of flows that the agents of a service have recorded, and resets callers
+ * whose flows no target holds. Only agents that may hold a flow are asked for it.
  */
 class FlowFinder
 {
@@ -28,7 +31,7 @@
     }
 
     /**
-     * Queries all agents of the service for the owner of an open flow, except `except`, which does not hold it. The
+     * Searches for the owner of an open flow among the agents of the service but `except`, which does not hold it. The
      * packet is buffered until the owner is known.
      */
     void search(Timestamp now,
@@ -42,6 +45,9 @@
      */
     void handleDenial(Timestamp now, const PeerAddress &agent, const FlowTuple &tuple, FlowPresence presence);
 
+    /** Handles a part of an agent's list of flows. */
+    void handleList(Timestamp now, const PeerAddress &agent, const wire::relay::FlowList &part);
+
     /** Forwards the buffered packets of a flow to its recorded owner and ends the search. */
     void finish(const FlowTuple &tuple);
 
@@ -59,21 +65,32 @@
 
     void onTick(Timestamp now);
 
-    /** Removes expired searches. Must be called about once a second. */
-    void expire(Timestamp now)
-    {
-        searches_.expire(now);
-    }
+    /** Removes expired searches and the lists of removed agents. Must be called about once a second. */
+    void expire(Timestamp now);
 
     std::size_t size() const
     {
         return searches_.size();
     }
 
+    /** Returns the number of flows that the agents have told. */
+    std::size_t listedFlows() const
+    {
+        return index_.size();
+    }
+
 private:
-    void askAgents(Timestamp now, const RelayedService &service, const FlowTuple &tuple, const PeerAddress &except);
-    /** Resets the caller if no queried agent holds the flow and all agents were known when the search began. */
-    void resetIfLost(const FlowTuple &tuple);
+    /** Asks the agents that may hold the flow, and requests the lists that are missing. Ends a search for a lost flow.
+     */
+    void evaluate(Timestamp now, const RelayedService &service, const FlowTuple &tuple);
+    /** Evaluates the searches for which the missing lists have arrived. */
+    void evaluateCovered(Timestamp now);
+    void ask(Timestamp now, FlowSearch &search, const PeerAddress &agent, GroupId group);
+    /** Handles a flow that no known agent holds: resets the caller if no other agent can hold it. */
+    void conclude(Timestamp now, const RelayedService &service, FlowSearch &search);
+    void sendListRequests(Timestamp now);
+    /** Returns the time as of which all agents of the service have sent their lists, or no value if one has not. */
+    std::optional<Timestamp> completeAsOf(const RelayedService &service) const;
     /**
      * Returns true if a flow that all agents of the service deny is lost: all agents are known, and each of them
      * answers or has announced the end of its target.
@@ -83,6 +100,7 @@
     RelayBalancerContext &context_;
     AgentCoverage coverage_;
     FlowSearches searches_;
+    FlowIndex index_;
 };
 
 } // namespace rhubarblane
--- a/src/relay/flowsearches.cpp
+++ b/src/relay/flowsearches.cpp
@@ -13,8 +13,6 @@
 constexpr std::size_t MaximumBufferedPackets = 16;
 // With one packet of 1.2 KB each, the searches take 5 MB of the 74 MB of memory of the smallest VM.
 constexpr std::size_t MaximumSearches = 4096;
-// A round trip between availability zones takes 3 ms; the rest allows for agents that wait for their CPU share.
-constexpr Milliseconds AnswerTimeout(60);
 // Callers retransmit a packet after at most 1.6 s, which starts a new search.
 constexpr Milliseconds Retention(2000);
 
@@ -29,7 +27,7 @@
 FlowSearch &FlowSearches::start(Timestamp now, const RelayPacket &head, std::string_view packet)
 {
     FlowSearch &search = searches_[head.flow];
-    search = FlowSearch {now, head, false, false, {}, {}};
+    search = FlowSearch {now, head, false, now, Timestamp(), {}, {}, {}};
     addPacket(search, head, packet);
     return search;
 }
@@ -58,22 +56,6 @@
     return searches_.size() >= MaximumSearches;
 }
 
-std::vector<FlowTuple> FlowSearches::undecided() const
-{
-    std::vector<FlowTuple> result;
-    for (const auto &[tuple, search] : searches_) {
-        if (search.undecided) {
-            result.push_back(tuple);
-        }
-    }
-    return result;
-}
-
-bool FlowSearches::isOverdue(Timestamp now, const FlowSearch &search)
-{
-    return now - search.started >= AnswerTimeout;
-}
-
 void FlowSearches::expire(Timestamp now)
 {
     for (auto search = searches_.begin(); search != searches_.end();) {
--- a/src/relay/flowsearches.h
+++ b/src/relay/flowsearches.h
@@ -6,6 +6,7 @@
 #include "wire/flowtuple.h"
 #include "wire/peeraddress.h"
 
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -15,17 +16,21 @@
 namespace rhubarblane
 {
 
-/** The state of one query to all agents of a service for the owner of a flow. */
+/** The state of one search for the owner of a flow among the agents of a service. */
 struct FlowSearch {
     Timestamp started;
     /** Header of the last packet of the caller. */
     RelayPacket head;
-    /** All agents were known when the search began, so the flow is lost if none of them holds it. */
-    bool coversAllAgents = false;
-    /** No queried agent holds the flow, but some agents may have been unknown. */
+    /** No known agent holds the flow, but some agents may be unknown. */
     bool undecided = false;
-    /** Agents whose negative answer is outstanding. */
-    std::set<PeerAddress> unanswered;
+    /** The search is evaluated again at this time if no answer arrives before. */
+    Timestamp nextEvaluation;
+    /** The time as of which the lists of all agents were complete at the last evaluation. */
+    Timestamp evaluatedAsOf;
+    /** The agents that were asked for this flow, with the time of the last query. */
+    std::map<PeerAddress, Timestamp> asked;
+    /** The agents that denied the flow in an answer to a query or to a packet. */
+    std::set<PeerAddress> denied;
     /** Buffered packets of the caller, oldest first. */
     std::vector<std::string> packets;
 };
@@ -55,11 +60,18 @@
         return searches_.size();
     }
 
-    /** Returns the flows whose searches are undecided. */
-    std::vector<FlowTuple> undecided() const;
-
-    /** Returns true if the query has timed out: its messages are assumed to be lost. */
-    static bool isOverdue(Timestamp now, const FlowSearch &search);
+    /** Returns the flows of all searches for which `isChosen` returns true. */
+    template<typename Condition>
+    std::vector<FlowTuple> matching(Condition isChosen) const
+    {
+        std::vector<FlowTuple> result;
+        for (const auto &[tuple, search] : searches_) {
+            if (isChosen(search)) {
+                result.push_back(tuple);
+            }
+        }
+        return result;
+    }
 
     /** Erases searches whose callers no longer send packets. */
     void expire(Timestamp now);
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -1,5 +1,7 @@
 #include "relay/relayagent.h"
 
+#include "base/hash.h"
+#include "relay/flowindex.h"
 #include "relay/flowretention.h"
 #include "relay/relayflow.h"
 
@@ -40,6 +42,7 @@
     , target_(settings_.reportInterval, now)
     , flows_(counters_)
     , group_(groupIdOf(settings_.group))
+    , listId_(hashPair(settings_.self.id().value(), settings_.self.incarnation))
     , uncertainSince_(now)
 {
 }
@@ -51,6 +54,8 @@
         handleForward(now, from, message.forward());
     } else if (message.has_flow_query()) {
         handleFlowQuery(now, from, message.flow_query());
+    } else if (message.has_flow_list_request()) {
+        handleFlowListRequest(now, from, message.flow_list_request());
     } else if (message.has_hello()) {
         handleHello(now, from, message.hello());
     } else {
@@ -153,6 +158,30 @@
     answerFlow(now, from, tuple, presence);
 }
 
+void RelayAgent::handleFlowListRequest(Timestamp now,
+                                       const PeerAddress &from,
+                                       const wire::relay::FlowListRequest &request)
+{
+    ++counters_.flowListsSent;
+    wire::relay::FlowList head;
+    head.set_request(request.request());
+    head.set_list(listId_);
+    std::vector<FlowHash> flows;
+    if (GroupId(request.group()) == group_) {
+        head.set_since(request.list() == listId_ ? request.since() : 0);
+        head.set_until(flows_.lastNumber());
+        head.set_untracked(mayHoldUntrackedFlows(now));
+        flows = flows_.recordedSince(head.since());
+    } else {
+        head.set_wrong_group(true);
+    }
+    for (wire::relay::FlowList &part : splitFlowList(head, flows)) {
+        wire::relay::Message message;
+        *message.mutable_flow_list() = std::move(part);
+        output_.sendToPeer(from, message);
+    }
+}
+
 FlowPresence RelayAgent::presenceOf(Timestamp now, const FlowTuple &tuple)
 {
     const AgentFlow *flow = flows_.find(tuple);
@@ -363,11 +392,12 @@
     }
     flows_.setSlots(report.slots);
     if (change == TargetStatus::Change::NewStart) {
-        if (target_.startCount() > 1 || report.sequence <= FirstReportSequence) {
+        const bool firstReport = report.sequence <= FirstReportSequence;
+        if (target_.startCount() > 1 || firstReport) {
             uncertainSince_.reset();
         }
         // A target that reported before this agent started still holds the flows whose packets it has sent.
-        const bool keepsFlows = target_.startCount() == 1 && report.sequence > FirstReportSequence;
+        const bool keepsFlows = target_.startCount() == 1 && !firstReport;
         flows_.handleTargetRestart(now, keepsFlows);
     }
     if (change != TargetStatus::Change::None) {
--- a/src/relay/relayagent.h
+++ b/src/relay/relayagent.h
@@ -93,6 +93,7 @@
     /** Creates a record for a flow of which the target's next answer shows whether the target holds it. */
     void probe(Timestamp now, const FlowTuple &tuple);
     void handleFlowQuery(Timestamp now, const PeerAddress &from, const wire::relay::FlowQuery &query);
+    void handleFlowListRequest(Timestamp now, const PeerAddress &from, const wire::relay::FlowListRequest &request);
     FlowPresence presenceOf(Timestamp now, const FlowTuple &tuple);
     void handleHello(Timestamp now, const PeerAddress &from, const wire::relay::Hello &hello);
     void handleReturned(Timestamp now, std::string packet, const RelayPacket &head);
@@ -124,6 +125,8 @@
     RelayAgentCounters counters_;
     TargetFlows flows_;
     GroupId group_;
+    /** Identifies the flow lists of this incarnation of the agent. */
+    std::uint64_t listId_;
     Timestamp nextSweep_;
     std::uint64_t loadSequence_ = 0;
     TargetState reportedState_ = TargetState::Unknown;
--- a/src/relay/relayagentcounters.h
+++ b/src/relay/relayagentcounters.h
@@ -18,6 +18,7 @@
     std::uint64_t returnedWrongGroup = 0;
     std::uint64_t searchesDelivered = 0;
     std::uint64_t searchesAbsent = 0;
+    std::uint64_t flowListsSent = 0;
     std::uint64_t resetsDropped = 0; ///< Resets from the target's VM for flows that the target does not hold.
     std::uint64_t requestsFinished = 0;
     std::uint64_t requestsAbandoned = 0; ///< Requests that ended without an answer.
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -94,6 +94,9 @@
     case wire::relay::Message::kFlowAnswer:
         handleFlowAnswer(now, from, message.flow_answer());
         break;
+    case wire::relay::Message::kFlowList:
+        finder_.handleList(now, from, message.flow_list());
+        break;
     case wire::relay::Message::kTableRequest:
         handleTableRequest(from, message.table_request());
         break;
--- a/src/relay/relaybalancer.h
+++ b/src/relay/relaybalancer.h
@@ -96,6 +96,10 @@
     {
         return context_.flows.size();
     }
+    std::size_t listedFlows() const
+    {
+        return finder_.listedFlows();
+    }
     std::size_t searches() const
     {
         return finder_.size();
--- a/src/relay/relaybalancercontext.h
+++ b/src/relay/relaybalancercontext.h
@@ -35,6 +35,9 @@
     std::uint64_t malformed = 0;
     std::uint64_t forwarded = 0;
     std::uint64_t searches = 0;
+    std::uint64_t flowQueries = 0;
+    std::uint64_t flowListRequests = 0;
+    std::uint64_t flowLists = 0;
     std::uint64_t offers = 0;
     std::uint64_t offersReturned = 0;
     std::uint64_t offersUnanswered = 0;
--- a/src/relay/targetflows.cpp
+++ b/src/relay/targetflows.cpp
@@ -109,6 +109,17 @@
     return static_cast<std::uint32_t>(expectedRequests_.size());
 }
 
+std::vector<FlowHash> TargetFlows::recordedSince(std::uint64_t number)
+{
+    std::vector<FlowHash> flows;
+    flows_.forEach([&flows, number](const AgentFlow &flow) {
+        if (flow.number > number) {
+            flows.push_back(flowHashOf(flow.tuple));
+        }
+    });
+    return flows;
+}
+
 void TargetFlows::sweep(Timestamp now)
 {
     flows_.expire(now, FlowRetention, [this, now](AgentFlow &flow) { endRequest(now, flow, RequestEnd::Abandoned); });
--- a/src/relay/targetflows.h
+++ b/src/relay/targetflows.h
@@ -33,9 +33,22 @@
     /** Returns the flow's record, created if there is none. */
     AgentFlow &touch(Timestamp now, const FlowTuple &tuple)
     {
-        return flows_.touch(now, tuple);
+        AgentFlow &flow = flows_.touch(now, tuple);
+        if (flow.number == 0) {
+            flow.number = ++lastNumber_;
+        }
+        return flow;
     }
 
+    /** Returns the number of the record that was created last. */
+    std::uint64_t lastNumber() const
+    {
+        return lastNumber_;
+    }
+
+    /** Returns the flows whose records have numbers above `number`. */
+    std::vector<FlowHash> recordedSince(std::uint64_t number);
+
     /** Records a packet from the caller to the target. */
     void noteCallerPacket(Timestamp now, AgentFlow &flow, const RelayPacket &head);
 
@@ -101,6 +114,7 @@
     OutlierDetector outliers_;
     LatencyHistogram requestTimes_;
     std::vector<std::pair<FlowTuple, Timestamp>> expectedRequests_;
+    std::uint64_t lastNumber_ = 0;
 };
 
 } // namespace rhubarblane
