Deny unknown flows beside targets that started with their agents

Cause: a target starts 100 to 350 ms before its agent has loaded, and the agent counted a target as running since before its own start unless it got the target's first report. For a minute each agent answered each search with Uncertain.

Change: a target that is younger than three quarters of its report interval has had no report answered: it repeats an unanswered report soon and sends the next one a whole interval after an answer. That is the same evidence as a first report with sequence 1. The age comes from the clock of the VM at the start of the agent and the steady clock.

Test: agentStartedTogetherWithTargetTracksAllFlows fails without the change.

--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -22,6 +22,9 @@
 constexpr Milliseconds SweepInterval(1000);
 // Highest sequence number in the first report of a target that has just started.
 constexpr std::uint64_t FirstReportSequence = 1;
+// Highest age of a target, in percent of the report interval, that proves that its first report is unanswered; reports
+// are sent about, not exactly, once per interval.
+constexpr std::int64_t FirstReportAgePercent = 75;
 
 constexpr std::uint32_t ModeBits = 2;
 constexpr std::uint32_t ModeMask = (1U << ModeBits) - 1;
@@ -36,6 +39,7 @@
 
 RelayAgent::RelayAgent(RelayAgentSettings settings, Timestamp now, const PacketFormat &format, RelayOutput &output)
     : settings_(std::move(settings))
+    , started_(now)
     , format_(format)
     , output_(output)
     , peers_(settings_.self, settings_.seeds, output)
@@ -392,7 +396,7 @@
     }
     flows_.setSlots(report.slots);
     if (change == TargetStatus::Change::NewStart) {
-        const bool firstReport = report.sequence <= FirstReportSequence;
+        const bool firstReport = isFirstReport(now, report);
         if (target_.startCount() > 1 || firstReport) {
             uncertainSince_.reset();
         }
@@ -411,6 +415,19 @@
     return true;
 }
 
+bool RelayAgent::isFirstReport(Timestamp now, const TargetReport &report) const
+{
+    if (report.sequence <= FirstReportSequence) {
+        return true;
+    }
+    // After a power failure the target tries to report until its agent has started. A target repeats an unanswered
+    // report soon, but sends the next one a report interval after an answer, so a younger target had none before. The
+    // clock is read at the start of the agent only, since it may be set at any time.
+    const std::int64_t agentStarted = static_cast<std::int64_t>(settings_.self.incarnation);
+    const Milliseconds age = Milliseconds(agentStarted - report.started) + (now - started_);
+    return age >= Milliseconds(0) && age < Milliseconds(settings_.reportInterval.count() * FirstReportAgePercent / 100);
+}
+
 void RelayAgent::onTargetLeft(Timestamp now, const std::string &target)
 {
     const bool current = target_.noteLeave(target);
--- a/src/relay/relayagent.h
+++ b/src/relay/relayagent.h
@@ -95,6 +95,8 @@
     void handleFlowQuery(Timestamp now, const PeerAddress &from, const wire::relay::FlowQuery &query);
     void handleFlowListRequest(Timestamp now, const PeerAddress &from, const wire::relay::FlowListRequest &request);
     FlowPresence presenceOf(Timestamp now, const FlowTuple &tuple);
+    /** Returns true if no report of this start of the target has been answered before, also by an earlier agent. */
+    bool isFirstReport(Timestamp now, const TargetReport &report) const;
     void handleHello(Timestamp now, const PeerAddress &from, const wire::relay::Hello &hello);
     void handleReturned(Timestamp now, std::string packet, const RelayPacket &head);
     void handleAnswer(Timestamp now, std::string packet, const RelayPacket &head);
@@ -118,6 +120,7 @@
     std::uint32_t tagFor(const PeerAddress &balancer, std::uint32_t mode);
 
     RelayAgentSettings settings_;
+    Timestamp started_;
     const PacketFormat &format_;
     RelayOutput &output_;
     AgentPeers peers_;
--- a/src/tests/agentflowlisttest.cpp
+++ b/src/tests/agentflowlisttest.cpp
@@ -104,6 +104,15 @@
     BOOST_TEST(list().untracked());
 }
 
+// Guards against searches that deliver a packet of each lost flow to each target after a power failure: targets start
+// before their agents, and the agents miss their first reports.
+BOOST_AUTO_TEST_CASE(agentStartedTogetherWithTargetTracksAllFlows)
+{
+    now = now + Milliseconds(100);
+    report(4, Started - 200);
+    BOOST_TEST(!list().untracked());
+}
+
 // Guards against a target that has already been answered once by an earlier agent and may hold flows of it.
 BOOST_AUTO_TEST_CASE(agentOfTargetThatIsOlderThanReportIntervalTracksNotAllFlows)
 {
