Keep new flows away from evacuated availability zones

Callers' flows reached targets of a zone for as long as the operators wanted it empty: nothing read the evacuations. Balancers now read them with the watch and the check of the service table, spread them in hello messages to balancers and agents, and place no new flow in an evacuated zone. Agents refuse new flows by themselves. States are ordered by the store's revision, so that late messages neither end nor restore an evacuation.

--- a/src/node/balancernode.cpp
+++ b/src/node/balancernode.cpp
@@ -30,6 +30,7 @@
     result.self = self;
     result.seeds = settings.seeds;
     result.randomSeed = self.id().value() ^ self.incarnation;
+    result.evacuations = settings.evacuations;
     return result;
 }
 
@@ -41,7 +42,8 @@
                            const PacketFormat &format,
                            ConfigStore &store,
                            std::string tableKey,
-                           TableWatcher::Decoder decode)
+                           TableWatcher::Decoder decode,
+                           EvacuationKeys evacuationKeys)
     : loop_(loop)
     , store_(store)
     , sockets_(settings, loop)
@@ -63,7 +65,14 @@
                   ready_ = core_.isReady();
               });
           },
-          logStoreEvent)
+          logStoreEvent,
+          settings.evacuations ? std::move(evacuationKeys) : EvacuationKeys(),
+          [this](const EvacuatedZones &state) {
+              loop_.post([this, state] {
+                  core_.onEvacuations(loop_.now(), state, "store");
+                  ready_ = core_.isReady();
+              });
+          })
 {
 }
 
@@ -140,7 +149,7 @@
 
 std::string BalancerNode::dump()
 {
-    return loop_.call([this] { return balancerDump(core_); }).value_or("{}");
+    return loop_.call([this] { return balancerDump(core_, loop_.now()); }).value_or("{}");
 }
 
 } // namespace rhubarblane
--- a/src/node/balancernode.h
+++ b/src/node/balancernode.h
@@ -23,14 +23,18 @@
 class BalancerNode
 {
 public:
-    /** All references must outlive the node. `tableKey` is the store key whose value `decode` parses. */
+    /**
+     * All references must outlive the node. `tableKey` is the store key whose value `decode` parses; `evacuationKeys`
+     * are read if the settings call for evacuations.
+     */
     BalancerNode(const NodeSettings &settings,
                  const Peer &self,
                  EventLoop &loop,
                  const PacketFormat &format,
                  ConfigStore &store,
                  std::string tableKey,
-                 TableWatcher::Decoder decode);
+                 TableWatcher::Decoder decode,
+                 EvacuationKeys evacuationKeys);
 
     std::optional<Error> start();
 
--- a/src/node/nodereport.cpp
+++ b/src/node/nodereport.cpp
@@ -45,10 +45,16 @@
                                        &RelayBalancerCounters::refusedUnknownService},
     CounterRow<RelayBalancerCounters> {
         "refused_no_target_total", "New flows reset without a target", &RelayBalancerCounters::refusedNoTarget},
+    CounterRow<RelayBalancerCounters> {"refused_evacuated_total",
+                                       "New flows reset since all targets are in evacuated zones",
+                                       &RelayBalancerCounters::refusedEvacuated},
     CounterRow<RelayBalancerCounters> {
         "refused_overload_total", "New flows reset after all offers", &RelayBalancerCounters::refusedOverload},
     CounterRow<RelayBalancerCounters> {
         "dropped_no_table_total", "Packets before the first table", &RelayBalancerCounters::droppedNoTable},
+    CounterRow<RelayBalancerCounters> {"dropped_no_evacuations_total",
+                                       "New flows before the evacuations are known",
+                                       &RelayBalancerCounters::droppedNoEvacuations},
     CounterRow<RelayBalancerCounters> {
         "dropped_no_target_total", "New flows before the first reports", &RelayBalancerCounters::droppedNoTarget},
     CounterRow<RelayBalancerCounters> {
@@ -81,6 +87,8 @@
         "returned_not_held_total", "Packets that the target returned", &RelayAgentCounters::returnedNotHeld},
     CounterRow<RelayAgentCounters> {
         "returned_wrong_group_total", "Packets for another group", &RelayAgentCounters::returnedWrongGroup},
+    CounterRow<RelayAgentCounters> {
+        "returned_evacuated_total", "Offers while the zone is evacuated", &RelayAgentCounters::returnedEvacuated},
     CounterRow<RelayAgentCounters> {
         "searches_delivered_total", "Searched packets delivered", &RelayAgentCounters::searchesDelivered},
     CounterRow<RelayAgentCounters> {
@@ -123,11 +131,36 @@
                  sockets.packetCounters().sendErrors + sockets.peerCounters().sendErrors);
 }
 
+void addEvacuations(MetricsText &text, const Evacuations &evacuations)
+{
+    text.gauge("evacuated_zones",
+               "Availability zones whose targets get no new flows",
+               static_cast<double>(evacuations.state().zones.size()));
+    text.gauge("evacuations_as_of",
+               "Revision of the store as of which the evacuations are known, 0 if they are not",
+               static_cast<double>(evacuations.state().asOf.value()));
+}
+
 value number(double n)
 {
     return value::number(n);
 }
 
+value evacuationsDump(const Evacuations &evacuations, Timestamp now)
+{
+    value dump = value::object();
+    dump["asOf"] = number(static_cast<double>(evacuations.state().asOf.value()));
+    value zones = value::array();
+    for (const auto &[zone, since] : evacuations.since()) {
+        value row = value::object();
+        row["zone"] = value::string(zone);
+        row["knownForMs"] = number(static_cast<double>((now - since).count()));
+        zones[zones.size()] = row;
+    }
+    dump["zones"] = zones;
+    return dump;
+}
+
 } // namespace
 
 std::string balancerMetrics(const RelayBalancer &core, const RelaySockets &sockets, Timestamp now)
@@ -142,6 +175,7 @@
                static_cast<double>(core.tableCheckAge(now).value_or(Milliseconds(-1)).count()));
     text.gauge("flows", "Flows whose owner is remembered", static_cast<double>(core.flows()));
     text.gauge("targets", "Targets that report", static_cast<double>(core.targets().size()));
+    addEvacuations(text, core.evacuations());
     text.histogram("flow_open_seconds", "Time from the first packet to the opened flow", core.openTimes());
     addSockets(text, sockets);
     return text.text();
@@ -156,16 +190,19 @@
     text.gauge("utilization", "Share of the slots in use", core.meter().utilization(now));
     text.gauge("flows", "Flows with a record", static_cast<double>(core.openFlows()));
     text.gauge("target_ready", "1 while new flows are taken", core.state(now) == TargetState::Ready ? 1.0 : 0.0);
+    addEvacuations(text, core.zone().evacuations());
+    text.gauge("zone_evacuated", "1 while the own zone is evacuated", core.zone().isEvacuated() ? 1.0 : 0.0);
     text.histogram("request_seconds", "Time from a request to its answer", core.requestTimes());
     addSockets(text, sockets);
     return text.text();
 }
 
-std::string balancerDump(const RelayBalancer &core)
+std::string balancerDump(const RelayBalancer &core, Timestamp now)
 {
     value dump = value::object();
     dump["table"] = number(core.table() == nullptr ? 0.0 : static_cast<double>(core.table()->version.value()));
     dump["flows"] = number(static_cast<double>(core.flows()));
+    dump["evacuations"] = evacuationsDump(core.evacuations(), now);
     value targets = value::array();
     for (const auto &[address, target] : core.targets().all()) {
         value row = value::object();
@@ -173,6 +210,7 @@
         row["address"] = value::string(formatPeerAddress(address));
         row["group"] = value::string(target.groupName);
         row["state"] = value::string(nameOf(target.state));
+        row["evacuated"] = value::boolean(target.evacuated);
         row["silent"] = value::boolean(target.offerUnanswered);
         row["busy"] = number(target.busy);
         row["slots"] = number(target.slots);
@@ -193,6 +231,7 @@
     dump["utilization"] = number(core.meter().utilization(now));
     dump["serviceTimeMs"] = number(core.meter().serviceTimeMs());
     dump["flows"] = number(static_cast<double>(core.openFlows()));
+    dump["evacuations"] = evacuationsDump(core.zone().evacuations(), now);
     value balancers = value::array();
     for (const PeerDirectory::Entry *entry : core.peers().withRole(PeerRole::Balancer)) {
         balancers[balancers.size()] = value::string(entry->peer.name);
--- a/src/node/nodereport.h
+++ b/src/node/nodereport.h
@@ -15,7 +15,7 @@
 std::string agentMetrics(const RelayAgent &core, const RelaySockets &sockets, Timestamp now);
 
 /** These return the state of a process as JSON. */
-std::string balancerDump(const RelayBalancer &core);
+std::string balancerDump(const RelayBalancer &core, Timestamp now);
 std::string agentDump(const RelayAgent &core, Timestamp now);
 
 } // namespace rhubarblane
--- a/src/node/nodesettings.h
+++ b/src/node/nodesettings.h
@@ -30,6 +30,9 @@
     /** Addresses of peers to contact at start; they may be stale. */
     std::vector<PeerAddress> seeds;
 
+    /** The operators may evacuate availability zones. */
+    bool evacuations = false;
+
     // Settings of agents only.
     PeerAddress target;
     std::string group;
--- a/src/node/tablewatcher.cpp
+++ b/src/node/tablewatcher.cpp
@@ -1,6 +1,7 @@
 #include "node/tablewatcher.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace rhubarblane
@@ -15,14 +16,31 @@
 // The store answers a watch with this timeout immediately. A timeout of 0 may mean the store's default.
 constexpr Milliseconds CheckWatchTimeout(1);
 constexpr Milliseconds RetryInterval(300);
+// Bounds the log lines and the memory of invalid keys.
+constexpr std::size_t MaximumInvalidKeys = 256;
+
+std::string commonPrefix(const std::string &a, const std::string &b)
+{
+    const auto [end, ignored] = std::mismatch(a.begin(), a.end(), b.begin(), b.end());
+    return {a.begin(), end};
+}
 
 } // namespace
 
-TableWatcher::TableWatcher(ConfigStore &store, std::string key, Decoder decode, TableHandler onTable, LogHandler onLog)
+TableWatcher::TableWatcher(ConfigStore &store,
+                           std::string key,
+                           Decoder decode,
+                           TableHandler onTable,
+                           LogHandler onLog,
+                           EvacuationKeys evacuationKeys,
+                           EvacuationHandler onEvacuations)
     : store_(store)
     , key_(std::move(key))
+    , evacuationKeys_(std::move(evacuationKeys))
+    , prefix_(evacuationKeys_.prefix.empty() ? key_ : commonPrefix(key_, evacuationKeys_.prefix))
     , decode_(std::move(decode))
     , onTable_(std::move(onTable))
+    , onEvacuations_(std::move(onEvacuations))
     , onLog_(std::move(onLog))
 {
 }
@@ -32,17 +50,13 @@
     // Jitter spreads the reconnects of balancers that started at the same time.
     const Milliseconds wait(
         std::uniform_int_distribution<std::int64_t>(MaxWatchTimeout.count() * 3 / 4, MaxWatchTimeout.count())(random_));
-    const Outcome<Revision> read = lastRevision_ == Revision() ? readAll() : waitForChange(lastRevision_, wait);
-    std::optional<Error> error;
-    if (isOk(read)) {
-        lastRevision_ = valueOf(read);
-    } else {
+    std::optional<Error> error = watched_.revision == Revision() ? readAll(watched_) : waitForChange(watched_, wait);
+    if (error) {
         // The store may have compacted its history, so only a full read returns the changes since the last revision.
-        lastRevision_ = Revision();
-        if (errorOf(read).code == ErrorCode::NotFound) {
-            onLog_("historyDropped", key_);
-        } else {
-            error = errorOf(read);
+        watched_.revision = Revision();
+        if (error->code == ErrorCode::NotFound) {
+            onLog_("historyDropped", prefix_);
+            error.reset();
         }
     }
     updateStoreAvailability(error);
@@ -51,46 +65,96 @@
 
 bool TableWatcher::check()
 {
-    Outcome<Revision> read =
-        checkedRevision_ == Revision() ? readAll() : waitForChange(checkedRevision_, CheckWatchTimeout);
-    if (!isOk(read) && errorOf(read).code == ErrorCode::NotFound) {
-        read = readAll();
+    std::optional<Error> error =
+        checked_.revision == Revision() ? readAll(checked_) : waitForChange(checked_, CheckWatchTimeout);
+    if (error && error->code == ErrorCode::NotFound) {
+        error = readAll(checked_);
     }
-    if (isOk(read)) {
-        checkedRevision_ = valueOf(read);
-    } else if (!stopping_) {
-        onLog_("tableCheckFailed", errorOf(read).message);
+    if (error && !stopping_) {
+        onLog_("tableCheckFailed", error->message);
     }
-    return isOk(read);
+    return !error;
 }
 
-Outcome<Revision> TableWatcher::readAll()
+std::optional<Error> TableWatcher::readAll(View &view)
 {
-    const Outcome<StoredRange> range = store_.range(key_);
+    const Outcome<StoredRange> range = store_.range(prefix_);
     if (!isOk(range)) {
         return errorOf(range);
     }
+    view = View {valueOf(range).revision, {}};
     for (const StoredValue &value : valueOf(range).values) {
         if (value.key == key_) {
             publishTable(value.value, value.modified);
+        } else {
+            applyEvacuation(view, value.key, value.value);
         }
     }
-    return valueOf(range).revision;
+    publishEvacuations(view);
+    return std::nullopt;
 }
 
-Outcome<Revision> TableWatcher::waitForChange(Revision last, Milliseconds wait)
+std::optional<Error> TableWatcher::waitForChange(View &view, Milliseconds wait)
 {
-    const Outcome<std::vector<StoredChange>> changes = store_.watch(key_, Revision(last.value() + 1), wait);
+    const Outcome<std::vector<StoredChange>> changes = store_.watch(prefix_, Revision(view.revision.value() + 1), wait);
     if (!isOk(changes)) {
         return errorOf(changes);
     }
+    const Revision before = view.revision;
     for (const StoredChange &change : valueOf(changes)) {
-        if (change.key == key_ && change.value) {
+        if (change.key != key_) {
+            applyEvacuation(view, change.key, change.value);
+        } else if (change.value) {
             publishTable(*change.value, change.modified);
         }
-        last = std::max(last, change.modified);
+        view.revision = std::max(view.revision, change.modified);
+    }
+    if (view.revision != before) {
+        publishEvacuations(view);
+    }
+    return std::nullopt;
+}
+
+void TableWatcher::applyEvacuation(View &view, const std::string &key, const std::optional<std::string> &value)
+{
+    const std::string &prefix = evacuationKeys_.prefix;
+    if (prefix.empty() || key.compare(0, prefix.size(), prefix) != 0) {
+        return;
+    }
+    const std::string zone = key.substr(prefix.size());
+    view.evacuatedZones.erase(zone);
+    if (!value) {
+        return;
+    }
+    if (!isZoneName(zone)) {
+        logInvalidEvacuation(key, "no name of a zone");
+    } else if (const std::optional<Error> error = evacuationKeys_.check(*value)) {
+        logInvalidEvacuation(key, error->message);
+    } else {
+        view.evacuatedZones.insert(zone);
+    }
+}
+
+void TableWatcher::publishEvacuations(const View &view)
+{
+    if (evacuationKeys_.prefix.empty()) {
+        return;
+    }
+    EvacuatedZones state {view.revision, view.evacuatedZones};
+    while (state.zones.size() > MaximumEvacuatedZones) {
+        const auto last = std::prev(state.zones.end());
+        logInvalidEvacuation(evacuationKeys_.prefix + *last, "too many zones");
+        state.zones.erase(last);
+    }
+    onEvacuations_(state);
+}
+
+void TableWatcher::logInvalidEvacuation(const std::string &key, const std::string &reason)
+{
+    const std::lock_guard lock(invalidKeysMutex_);
+    if (invalidKeys_.size() < MaximumInvalidKeys && invalidKeys_.insert(key).second) {
+        onLog_("evacuationInvalid", key + ": " + reason);
     }
-    return last;
 }
 
 void TableWatcher::publishTable(const std::string &value, Revision modified)
@@ -112,7 +176,7 @@
     if (error && storeAvailable_) {
         onLog_("storeLost", error->message);
     } else if (!error && !storeAvailable_) {
-        onLog_("storeRegained", key_);
+        onLog_("storeRegained", prefix_);
     }
     storeAvailable_ = !error;
 }
--- a/src/relay/agentpeers.cpp
+++ b/src/relay/agentpeers.cpp
@@ -90,6 +90,15 @@
     output_.sendToPeer(balancer.address, message);
 }
 
+void AgentPeers::sendEvacuations(const PeerAddress &balancer, const EvacuatedZones &state)
+{
+    wire::relay::Message message;
+    wire::relay::Hello *hello = message.mutable_hello();
+    *hello->mutable_sender() = toWire(directory_.self());
+    *hello->mutable_evacuations() = toWire(state);
+    output_.sendToPeer(balancer, message);
+}
+
 Milliseconds AgentPeers::reportInterval(bool sameZone) const
 {
     const Milliseconds spread(static_cast<std::int64_t>(directory_.withRole(PeerRole::Balancer).size()) * 1000
--- a/src/relay/agentpeers.h
+++ b/src/relay/agentpeers.h
@@ -2,6 +2,7 @@
 #define RHUBARBLANE_RELAY_AGENTPEERS_H
 
 #include "base/clock.h"
+#include "relay/evacuations.h"
 #include "relay/peerdirectory.h"
 #include "relay/relayoutput.h"
 #include "relay/seedcontacts.h"
@@ -56,6 +57,9 @@
     /** Sends a report to one balancer, in addition to the periodic ones. */
     void sendReportTo(const Peer &balancer, wire::relay::Report report);
 
+    /** Tells a balancer that offered a flow in vain which zones are evacuated. */
+    void sendEvacuations(const PeerAddress &balancer, const EvacuatedZones &state);
+
     /** Notifies the balancers that the agent exits, and whether its target has ended. */
     void announceLeave(bool targetEnded);
 
--- a/src/relay/balancerpeers.cpp
+++ b/src/relay/balancerpeers.cpp
@@ -37,6 +37,10 @@
 // For the hello message to a process whose first message has just arrived.
 constexpr std::size_t PeersPerFirstHello = 24;
 
+// Agents that a balancer notifies of an evacuation immediately, 30 kB at once. In a fleet with more agents to a zone,
+// the balancers together notify each of them several times.
+constexpr std::size_t MaximumNotifiedAgents = 100;
+
 Milliseconds agentHelloInterval(std::size_t agents)
 {
     return std::clamp(Milliseconds(static_cast<std::int64_t>(agents) * 1000 / AgentHellosPerSecond),
@@ -69,6 +73,33 @@
     nextBalancerHello_ = now;
 }
 
+void BalancerPeers::setEvacuations(Timestamp now,
+                                   const EvacuatedZones &state,
+                                   const std::set<std::string> &changedZones)
+{
+    evacuations_ = state;
+    if (!changedZones.empty()) {
+        nextBalancerHello_ = now;
+        sendHellos(now, PeerRole::Agent, agentsToNotify(changedZones));
+    }
+}
+
+std::vector<const PeerDirectory::Entry *> BalancerPeers::agentsToNotify(const std::set<std::string> &zones) const
+{
+    std::vector<const PeerDirectory::Entry *> agents = directory_.withRole(PeerRole::Agent);
+    const auto isElsewhere = [&zones](const PeerDirectory::Entry *entry) {
+        return zones.count(entry->peer.availabilityZone) == 0;
+    };
+    agents.erase(std::remove_if(agents.begin(), agents.end(), isElsewhere), agents.end());
+    if (agents.size() > MaximumNotifiedAgents) {
+        // Balancers begin at different agents, so that together they notify all.
+        const auto first = static_cast<std::ptrdiff_t>(directory_.self().id().value() % agents.size());
+        std::rotate(agents.begin(), agents.begin() + first, agents.end());
+        agents.resize(MaximumNotifiedAgents);
+    }
+    return agents;
+}
+
 void BalancerPeers::announceTableCheck(Timestamp now)
 {
     nextBalancerHello_ = now;
@@ -164,6 +195,9 @@
     *hello->mutable_sender() = toWire(directory_.self());
     hello->set_table_version(tableVersion_.value());
     hello->set_leaving(leaving_);
+    if (evacuations_.asOf != Revision()) {
+        *hello->mutable_evacuations() = toWire(evacuations_);
+    }
     std::vector<const PeerDirectory::Entry *> recent = directory_.recentContacts(now);
     if (receiver == PeerRole::Balancer && freshness_.lastCheck()) {
         hello->set_table_check(freshness_.lastCheck()->id);
--- a/src/relay/balancerpeers.h
+++ b/src/relay/balancerpeers.h
@@ -2,6 +2,7 @@
 #define RHUBARBLANE_RELAY_BALANCERPEERS_H
 
 #include "base/clock.h"
+#include "relay/evacuations.h"
 #include "relay/peerdirectory.h"
 #include "relay/peerrotation.h"
 #include "relay/relayoutput.h"
@@ -10,6 +11,8 @@
 #include "relay/tablefreshness.h"
 
 #include <cstddef>
+#include <set>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -35,6 +38,12 @@
      */
     void setTableVersion(Timestamp now, TableVersion version);
 
+    /**
+     * Sets the evacuations that hello messages announce. If zones have changed, a part of the balancers and the agents
+     * of these zones are notified immediately.
+     */
+    void setEvacuations(Timestamp now, const EvacuatedZones &state, const std::set<std::string> &changedZones);
+
     /** Announces a check of the table with the next hello messages, which are sent immediately. */
     void announceTableCheck(Timestamp now);
 
@@ -66,6 +75,8 @@
     }
 
 private:
+    /** Returns the agents of these availability zones that this balancer notifies of a change. */
+    std::vector<const PeerDirectory::Entry *> agentsToNotify(const std::set<std::string> &zones) const;
     void sendHello(Timestamp now, const Peer &peer, std::size_t peerLimit);
     void sendHellos(Timestamp now, PeerRole role, const std::vector<const PeerDirectory::Entry *> &receivers);
     wire::relay::Message makeHello(Timestamp now, std::size_t peerLimit, PeerRole receiver);
@@ -77,6 +88,7 @@
     RelayOutput &output_;
     PeerRotation balancerRotation_;
     TableVersion tableVersion_;
+    EvacuatedZones evacuations_;
     Timestamp nextBalancerHello_;
     Timestamp nextAgentHello_;
     /** Round-robin position in the recently active peers, from which the next hello message lists peers. */
--- a/src/relay/flowopener.cpp
+++ b/src/relay/flowopener.cpp
@@ -114,14 +114,12 @@
 {
     const FlowTuple tuple = flow.tuple;
     const std::optional<RelayPacket> head = context_.format.decode(flow.openingPacket, PacketOrigin::Caller);
-    const bool discovering = refusal == Refusal::NoTarget && now - context_.started < DiscoveryPeriod;
+    const bool discovering = refusal != Refusal::Overload && now - context_.started < DiscoveryPeriod;
     if (discovering && queuedFlows_.size() < MaximumQueuedFlows) {
         enqueue(flow);
         return Placement::Queued;
     }
-    ++(discovering                        ? context_.counters.droppedNoTarget
-           : refusal == Refusal::NoTarget ? context_.counters.refusedNoTarget
-                                          : context_.counters.refusedOverload);
+    ++(discovering ? context_.counters.droppedNoTarget : refusalCounter(refusal));
     context_.output.logDecision("flowRefused",
                                 {{"flow", formatFlowTuple(tuple)},
                                  {"reason", nameOf(refusal)},
@@ -129,6 +127,7 @@
                                  {"lastReturn", std::string(lastReturn)},
                                  {"targets", std::to_string(context_.targets.size())},
                                  {"table", std::to_string(context_.table->version.value())},
+                                 {"evacuations", std::to_string(context_.evacuations.state().asOf.value())},
                                  {"outcome", discovering ? "dropped" : "reset"}});
     context_.flows.erase(tuple);
     if (head && !discovering) {
@@ -137,6 +136,20 @@
     return Placement::Refused;
 }
 
+std::uint64_t &FlowOpener::refusalCounter(Refusal refusal)
+{
+    RelayBalancerCounters &counters = context_.counters;
+    switch (refusal) {
+    case Refusal::NoTarget:
+        return counters.refusedNoTarget;
+    case Refusal::Evacuated:
+        return counters.refusedEvacuated;
+    case Refusal::Overload:
+        break;
+    }
+    return counters.refusedOverload;
+}
+
 void FlowOpener::enqueue(BalancerFlow &flow)
 {
     flow.owner = PeerAddress();
--- a/src/relay/flowopener.h
+++ b/src/relay/flowopener.h
@@ -5,6 +5,7 @@
 #include "relay/flowplacement.h"
 #include "relay/relaybalancercontext.h"
 
+#include <cstdint>
 #include <deque>
 #include <string_view>
 #include <utility>
@@ -49,6 +50,7 @@
      */
     Placement offerNext(Timestamp now, BalancerFlow &flow, std::string_view lastReturn);
     Placement refuse(Timestamp now, BalancerFlow &flow, Refusal refusal, std::string_view lastReturn);
+    std::uint64_t &refusalCounter(Refusal refusal);
     /** Queues a new flow until the balancer knows targets. */
     void enqueue(BalancerFlow &flow);
     /** Offers the flows that were queued because no target was known. */
--- a/src/relay/flowplacement.cpp
+++ b/src/relay/flowplacement.cpp
@@ -62,6 +62,13 @@
     return usable;
 }
 
+std::vector<const KnownTarget *> withoutEvacuated(std::vector<const KnownTarget *> targets)
+{
+    const auto isEvacuated = [](const KnownTarget *target) { return target->evacuated; };
+    targets.erase(std::remove_if(targets.begin(), targets.end(), isEvacuated), targets.end());
+    return targets;
+}
+
 /** Excludes ejected targets, but at most half of the usable ones. */
 std::vector<const KnownTarget *> withoutEjected(std::vector<const KnownTarget *> usable)
 {
@@ -83,7 +90,15 @@
 
 std::string nameOf(Refusal refusal)
 {
-    return refusal == Refusal::NoTarget ? "noTarget" : "overload";
+    switch (refusal) {
+    case Refusal::NoTarget:
+        return "noTarget";
+    case Refusal::Evacuated:
+        return "evacuated";
+    case Refusal::Overload:
+        return "overload";
+    }
+    return "invalid";
 }
 
 FlowPlacement::FlowPlacement(std::uint64_t seed)
@@ -122,9 +137,10 @@
                                                  const OfferHistory &history,
                                                  Milliseconds acceptedWait)
 {
-    const std::vector<const KnownTarget *> usable = withoutEjected(usableOf(now, group));
+    const std::vector<const KnownTarget *> ready = usableOf(now, group);
+    const std::vector<const KnownTarget *> usable = withoutEjected(withoutEvacuated(ready));
     if (usable.empty()) {
-        return Refusal::NoTarget;
+        return ready.empty() ? Refusal::NoTarget : Refusal::Evacuated;
     }
     if (history.lastOfferMade) {
         return Refusal::Overload;
--- a/src/relay/flowplacement.h
+++ b/src/relay/flowplacement.h
@@ -33,6 +33,7 @@
 /** The reason why a new flow is refused. */
 enum class Refusal {
     NoTarget, ///< No target of the group accepts new flows.
+    Evacuated, ///< All targets that could accept new flows are in evacuated availability zones.
     Overload, ///< The queues of all targets are full, or all offers were returned.
 };
 
--- /dev/null
+++ b/src/relay/ownzone.cpp
@@ -0,0 +1,28 @@
+#include "relay/ownzone.h"
+
+#include <utility>
+
+namespace rhubarblane
+{
+
+OwnZone::OwnZone(std::string name, RelayOutput &output)
+    : name_(std::move(name))
+    , output_(output)
+{
+}
+
+bool OwnZone::apply(Timestamp now, const EvacuatedZones &state, const std::string &from)
+{
+    const Revision before = evacuations_.state().asOf;
+    if (evacuations_.apply(now, state).count(name_) == 0) {
+        return false;
+    }
+    output_.logDecision(isEvacuated() ? "zoneEvacuated" : "zoneTakenBack",
+                        {{"zone", name_},
+                         {"asOf", std::to_string(state.asOf.value())},
+                         {"before", std::to_string(before.value())},
+                         {"from", from}});
+    return true;
+}
+
+} // namespace rhubarblane
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -37,6 +37,7 @@
     , format_(format)
     , output_(output)
     , peers_(settings_.self, settings_.seeds, output)
+    , zone_(settings_.self.availabilityZone, output)
     , target_(settings_.reportInterval, now)
     , flows_(counters_)
     , group_(groupIdOf(settings_.group))
@@ -73,6 +74,13 @@
     if (sender.role == PeerRole::Balancer && peers_.recordContact(now, sender)) {
         peers_.sendReportTo(sender, makeReport(now));
     }
+    if (hello.has_evacuations()) {
+        const std::optional<EvacuatedZones> evacuations = evacuationsFromWire(hello.evacuations());
+        counters_.malformed += evacuations ? 0 : 1;
+        if (evacuations && zone_.apply(now, *evacuations, sender.name)) {
+            peers_.requestReport(now);
+        }
+    }
     for (const wire::relay::Peer &listed : hello.peers()) {
         if (const std::optional<Peer> other = peerFromWire(listed)) {
             peers_.recordMention(now, *other);
@@ -176,6 +184,12 @@
         deliver(now, from, forward.packet(), head, valueOf(ForwardMode::Open));
         return;
     }
+    if (zone_.isEvacuated()) {
+        ++counters_.returnedEvacuated;
+        returnPacket(now, from, ReturnReason::Evacuated, forward.packet());
+        peers_.sendEvacuations(from, zone_.evacuations().state());
+        return;
+    }
     const TargetState current = state(now);
     if (current != TargetState::Ready && current != TargetState::Ejected) {
         ++counters_.returnedNotReady;
--- a/src/relay/relayagent.h
+++ b/src/relay/relayagent.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "relay/agentpeers.h"
+#include "relay/ownzone.h"
 #include "relay/packetformat.h"
 #include "relay/relayagentcounters.h"
 #include "relay/relayoutput.h"
@@ -81,6 +82,10 @@
     {
         return flows_.size();
     }
+    const OwnZone &zone() const
+    {
+        return zone_;
+    }
     const PeerDirectory &peers() const
     {
         return peers_.directory();
@@ -120,6 +125,7 @@
     const PacketFormat &format_;
     RelayOutput &output_;
     AgentPeers peers_;
+    OwnZone zone_;
     TargetStatus target_;
     RelayAgentCounters counters_;
     TargetFlows flows_;
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -57,6 +57,10 @@
         return;
     }
     if (opening) {
+        if (!context_.mayPlaceFlows()) {
+            ++context_.counters.droppedNoEvacuations;
+            return;
+        }
         finder_.cancelEarlierFlow(*head);
         if (opener_.isNewFlowOfUsedPort(now, *head)) {
             opener_.forgetEarlierFlow(now, head->flow);
@@ -159,9 +163,19 @@
             ++context_.counters.malformed;
         }
     }
+    if (hello.has_evacuations()) {
+        if (const std::optional<EvacuatedZones> evacuations = evacuationsFromWire(hello.evacuations())) {
+            onEvacuations(now, *evacuations, sender.name);
+        } else {
+            ++context_.counters.malformed;
+        }
+    }
     const TableVersion peerVersion(hello.table_version());
     const TableVersion ownVersion = context_.table ? context_.table->version : TableVersion();
-    if (hello.table_check() != 0 && peerVersion <= ownVersion) {
+    // The check also covers the evacuations; the own ones are not older than those of the message.
+    const bool checkCoversState =
+        peerVersion <= ownVersion && (!context_.settings.evacuations || hello.has_evacuations());
+    if (hello.table_check() != 0 && checkCoversState) {
         const Timestamp begun = now + Milliseconds(-static_cast<std::int64_t>(hello.table_check_age_ms()));
         context_.freshness.noteCheckOfPeer({hello.table_check(), begun});
     }
@@ -189,7 +203,7 @@
 {
     context_.targets.updateLoad(now, from, returned.load());
     const std::optional<RelayPacket> head = context_.format.decode(returned.packet(), PacketOrigin::Caller);
-    if (!head || !context_.table || returned.reason() > static_cast<std::uint32_t>(ReturnReason::WrongGroup)) {
+    if (!head || !context_.table || returned.reason() > static_cast<std::uint32_t>(ReturnReason::Evacuated)) {
         ++context_.counters.malformed;
         return;
     }
@@ -287,6 +301,30 @@
     context_.peers.setTableVersion(now, context_.table->version);
 }
 
+void RelayBalancer::onEvacuations(Timestamp now, const EvacuatedZones &state, std::string_view source)
+{
+    const Revision before = context_.evacuations.state().asOf;
+    if (state.asOf <= before) {
+        return;
+    }
+    const std::set<std::string> changed = context_.evacuations.apply(now, state);
+    context_.peers.setEvacuations(now, state, changed);
+    if (changed.empty() && before != Revision()) {
+        return;
+    }
+    // A zone without a known target may have a wrong name, unless this process has just started.
+    const std::set<std::string> withoutTarget = context_.targets.setEvacuatedZones(state.zones);
+    context_.output.logDecision(
+        "evacuationInForce",
+        {{"zones", joinNames(state.zones)},
+         {"changed", joinNames(changed)},
+         {"asOf", std::to_string(state.asOf.value())},
+         {"before", std::to_string(before.value())},
+         {"withoutTarget", joinNames(withoutTarget)},
+         {"from", std::string(source)},
+         {"checkAgeMs", std::to_string(tableCheckAge(now).value_or(Milliseconds(-1)).count())}});
+}
+
 bool RelayBalancer::takeTableCheck(Timestamp now)
 {
     return context_.table && !leaving_ && context_.freshness.takeDueCheck(now, context_.peers.directory());
@@ -348,7 +386,7 @@
 
 bool RelayBalancer::isReady() const
 {
-    return context_.table && !leaving_;
+    return context_.table && context_.mayPlaceFlows() && !leaving_;
 }
 
 } // namespace rhubarblane
--- a/src/relay/relaybalancer.h
+++ b/src/relay/relaybalancer.h
@@ -31,6 +31,9 @@
     /** Applies a table if it is newer than the current one. `source` is logged. */
     void onTable(Timestamp now, ServiceTable table, std::string_view source);
 
+    /** Applies the evacuations if they are later than the known ones. `source` is logged. */
+    void onEvacuations(Timestamp now, const EvacuatedZones &state, std::string_view source);
+
     /**
      * Returns true if the caller must compare the table with the store now, over a new connection. The caller then
      * passes a newer table to onTable() and calls onTableCheck().
@@ -66,6 +69,10 @@
     {
         return context_.table ? &*context_.table : nullptr;
     }
+    const Evacuations &evacuations() const
+    {
+        return context_.evacuations;
+    }
     const RelayBalancerCounters &counters() const
     {
         return context_.counters;
--- a/src/relay/relaybalancercontext.h
+++ b/src/relay/relaybalancercontext.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "relay/balancerflow.h"
 #include "relay/balancerpeers.h"
+#include "relay/evacuations.h"
 #include "relay/packetformat.h"
 #include "relay/pausedetector.h"
 #include "relay/recentflows.h"
@@ -28,6 +29,8 @@
     /** Maximum number of flows whose owner is kept. */
     std::size_t flowLimit = 200000;
     std::uint64_t randomSeed = 1;
+    /** The operators may evacuate availability zones, so no new flow is placed before the evacuations are known. */
+    bool evacuations = false;
 };
 
 struct RelayBalancerCounters {
@@ -42,8 +45,10 @@
     std::uint64_t portsReused = 0;
     std::uint64_t refusedUnknownService = 0;
     std::uint64_t refusedNoTarget = 0;
+    std::uint64_t refusedEvacuated = 0;
     std::uint64_t refusedOverload = 0;
     std::uint64_t droppedNoTable = 0;
+    std::uint64_t droppedNoEvacuations = 0;
     std::uint64_t droppedNoTarget = 0;
     std::uint64_t droppedNoFlow = 0;
     std::uint64_t flowsLost = 0;
@@ -66,6 +71,12 @@
     /** Returns the owner of a flow, or a null pointer if it is unknown or its address has gone to another group. */
     const KnownTarget *ownerOf(const BalancerFlow &flow) const;
 
+    /** Returns false while the evacuations that would limit new flows are unknown. */
+    bool mayPlaceFlows() const
+    {
+        return !settings.evacuations || evacuations.isKnown();
+    }
+
     /** Answers a caller's packet with a reset. */
     void resetCaller(const RelayPacket &head);
 
@@ -81,6 +92,7 @@
     RecentFlows<BalancerFlow> flows;
     PauseDetector pauses;
     std::optional<ServiceTable> table;
+    Evacuations evacuations;
     RelayBalancerCounters counters;
     Timestamp started;
 };
--- a/src/relay/targetdirectory.cpp
+++ b/src/relay/targetdirectory.cpp
@@ -51,6 +51,7 @@
     }
     target.agent = agent;
     target.sameZone = agent.availabilityZone == availabilityZone_;
+    target.evacuated = evacuatedZones_.count(agent.availabilityZone) > 0;
     target.reportInterval =
         std::clamp(Milliseconds(report.interval_ms()), ShortestReportInterval, LongestOtherZoneReportInterval);
     apply(now, target, report.load());
@@ -84,6 +85,17 @@
     target.offered = 0;
 }
 
+std::set<std::string> TargetDirectory::setEvacuatedZones(const std::set<std::string> &zones)
+{
+    evacuatedZones_ = zones;
+    std::set<std::string> withoutTarget = zones;
+    for (auto &[address, target] : targets_) {
+        target.evacuated = evacuatedZones_.count(target.agent.availabilityZone) > 0;
+        withoutTarget.erase(target.agent.availabilityZone);
+    }
+    return withoutTarget;
+}
+
 void TargetDirectory::noteOffer(const PeerAddress &agent)
 {
     const auto found = targets_.find(agent);
--- a/src/relay/targetdirectory.h
+++ b/src/relay/targetdirectory.h
@@ -9,6 +9,8 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -21,6 +23,8 @@
     GroupId group;
     std::string groupName;
     bool sameZone = false;
+    /** The availability zone is evacuated, so the target gets no new flows. */
+    bool evacuated = false;
 
     TargetState state = TargetState::Unknown;
     std::uint64_t sequence = 0;
@@ -53,6 +57,12 @@
     /** Applies a load that came with another message. It is ignored if the target is unknown or the load outdated. */
     void updateLoad(Timestamp now, const PeerAddress &agent, const wire::relay::Load &load);
 
+    /**
+     * Marks the targets of these availability zones, and of no others, as evacuated. Returns the zones without a known
+     * target.
+     */
+    std::set<std::string> setEvacuatedZones(const std::set<std::string> &zones);
+
     void noteOffer(const PeerAddress &agent);
     void noteUnansweredOffer(const PeerAddress &agent);
 
@@ -91,6 +101,7 @@
     static void apply(Timestamp now, KnownTarget &target, const wire::relay::Load &load);
 
     std::string availabilityZone_;
+    std::set<std::string> evacuatedZones_;
     std::map<PeerAddress, KnownTarget> targets_;
     std::unordered_map<GroupId, std::vector<PeerAddress>> groups_;
     /** Time of the last message of the target that expired last, by group. */
