--- a/src/tests/flowplacementtest.cpp
+++ b/src/tests/flowplacementtest.cpp
@@ -174,4 +174,17 @@
     BOOST_TEST((refusal(targets, history) == Refusal::Overload));
 }
 
+// Guards against new flows in an evacuated availability zone, also when its targets are the only ones with free slots.
+BOOST_AUTO_TEST_CASE(placementWithEvacuatedTargetsOffersOnlyToOthersAndRefusesWithoutOthers)
+{
+    std::vector<KnownTarget> targets {target(1, 0, 10, true), target(2, 0, 10), target(3, 4, 10)};
+    targets[0].evacuated = true;
+    targets[1].evacuated = true;
+    BOOST_TEST(firstOffers(targets, 100)[3] == 100);
+    targets[2].evacuated = true;
+    BOOST_TEST((refusal(targets, {}) == Refusal::Evacuated));
+    targets[0].evacuated = false;
+    BOOST_TEST(firstOffers(targets, 100)[1] == 100);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/relaysimulation.h
+++ b/src/tests/relaysimulation.h
@@ -306,9 +306,13 @@
         return vm;
     }
 
-    Vm &addAgent(const std::string &name, std::uint32_t host, const std::string &group, const std::string &targetId)
+    Vm &addAgent(const std::string &name,
+                 std::uint32_t host,
+                 const std::string &group,
+                 const std::string &targetId,
+                 const std::string &zone = "a")
     {
-        Vm &vm = add(relayPeer(name, PeerRole::Agent, host));
+        Vm &vm = add(relayPeer(name, PeerRole::Agent, host, zone));
         vm.target = Target {targetId, group, now_.milliseconds() + 1, 0, true, false, false, {}, 0};
         startAgent(vm);
         return vm;
@@ -321,11 +325,15 @@
         RelayBalancerSettings settings;
         settings.self = vm.peer;
         settings.seeds = std::move(seeds);
+        settings.evacuations = evacuations.has_value();
         vm.balancer = std::make_unique<RelayBalancer>(settings, now_, format_, vm);
         readStorePeers(vm);
         if (table && !vm.storeUnreachable) {
             vm.balancer->onTable(now_, *table, "store");
         }
+        if (evacuations && !vm.storeUnreachable) {
+            vm.balancer->onEvacuations(now_, *evacuations, "store");
+        }
     }
 
     void startAgent(Vm &vm, std::vector<PeerAddress> seeds = {})
@@ -348,6 +356,17 @@
         }
     }
 
+    /** Changes the evacuations in the store; VMs that cannot reach the store do not receive them. */
+    void setEvacuations(std::uint64_t revision, std::set<std::string> zones)
+    {
+        evacuations = EvacuatedZones {Revision(revision), std::move(zones)};
+        for (auto &[address, vm] : vms_) {
+            if (vm->balancer && vm->running && !vm->storeUnreachable) {
+                vm->balancer->onEvacuations(now_, *evacuations, "store");
+            }
+        }
+    }
+
     void send(Vm &balancer, const std::string &packet)
     {
         schedule(1, [this, &balancer, packet] {
@@ -385,6 +404,8 @@
 
     std::ostringstream transcript;
     std::optional<ServiceTable> table;
+    /** Set if the deployment has evacuations. */
+    std::optional<EvacuatedZones> evacuations;
     int resets = 0;
     int answers = 0;
 
--- a/src/tests/tablewatchertest.cpp
+++ b/src/tests/tablewatchertest.cpp
@@ -12,6 +12,16 @@
 {
 
 struct TableWatcherFixture {
+    static Outcome<ServiceTable> decode(const std::string &value)
+    {
+        if (value.find_first_not_of("0123456789") != std::string::npos) {
+            return Error {ErrorCode::InvalidArgument, "version", "is no number"};
+        }
+        ServiceTable table;
+        table.version = TableVersion(std::stoull(value));
+        return table;
+    }
+
     void write(const std::string &value)
     {
         store.table.commit({{}, {{"op/table", value, LeaseId()}}});
@@ -22,21 +32,37 @@
         return std::find(events.begin(), events.end(), event) != events.end();
     }
 
+    void setEvacuation(const std::string &zone, const std::optional<std::string> &value)
+    {
+        store.table.commit({{}, {{"op/evacuate/" + zone, value, LeaseId()}}});
+    }
+
+    /** Returns the zones of the last published state, and how many states were published, for example "a,b 2". */
+    std::string lastEvacuations() const
+    {
+        return evacuations.empty() ? "none"
+                                   : joinNames(evacuations.back().zones) + " " + std::to_string(evacuations.size());
+    }
+
     FakeConfigStore store;
     std::vector<std::uint64_t> versions;
     std::vector<std::string> events;
+    std::vector<EvacuatedZones> evacuations;
     TableWatcher watcher {store,
                           "op/table",
-                          [](const std::string &value) -> Outcome<ServiceTable> {
-                              if (value.find_first_not_of("0123456789") != std::string::npos) {
-                                  return Error {ErrorCode::InvalidArgument, "version", "is no number"};
-                              }
-                              ServiceTable table;
-                              table.version = TableVersion(std::stoull(value));
-                              return table;
-                          },
+                          decode,
                           [this](const ServiceTable &table) { versions.push_back(table.version.value()); },
                           [this](const std::string &event, const std::string &) { events.push_back(event); }};
+    /** A watcher of a deployment with evacuations. */
+    TableWatcher evacuationWatcher {
+        store,
+        "op/table",
+        decode,
+        [this](const ServiceTable &table) { versions.push_back(table.version.value()); },
+        [this](const std::string &event, const std::string &) { events.push_back(event); },
+        {"op/evacuate/",
+         [](const std::string &value) { return value == "{}" ? std::nullopt : std::optional<Error>(Error()); }},
+        [this](const EvacuatedZones &state) { evacuations.push_back(state); }};
 };
 
 } // namespace
@@ -124,4 +150,77 @@
     BOOST_TEST((versions == std::vector<std::uint64_t> {7}));
 }
 
+// Guards against evacuations that cost calls of their own, and against missed ones.
+BOOST_AUTO_TEST_CASE(watcherOfTableAndEvacuationsFollowsBothWithOneWatch)
+{
+    write("7");
+    setEvacuation("a", "{}");
+    evacuationWatcher.step();
+    BOOST_TEST(store.ranges == 1);
+    BOOST_TEST(lastEvacuations() == "a 1");
+    BOOST_TEST((evacuations.back().asOf == store.table.range("op/", "op0").revision));
+    setEvacuation("b", "{}");
+    write("9");
+    setEvacuation("a", std::nullopt);
+    evacuationWatcher.step();
+    BOOST_TEST(store.ranges == 1);
+    BOOST_TEST(lastEvacuations() == "b 2");
+    BOOST_TEST((versions == std::vector<std::uint64_t> {7, 9}));
+    evacuationWatcher.step();
+    BOOST_TEST(lastEvacuations() == "b 2");
+}
+
+// Guards against an evacuation that lasts forever since its end was compacted, or while the store was unreachable.
+BOOST_AUTO_TEST_CASE(watcherWithMissedRemovalReadsEvacuationsAnew)
+{
+    setEvacuation("a", "{}");
+    evacuationWatcher.step();
+    setEvacuation("a", std::nullopt);
+    store.table.compact();
+    evacuationWatcher.step();
+    evacuationWatcher.step();
+    BOOST_TEST(lastEvacuations() == " 2");
+    setEvacuation("b", "{}");
+    evacuationWatcher.step();
+    store.available = false;
+    evacuationWatcher.step();
+    setEvacuation("b", std::nullopt);
+    store.available = true;
+    evacuationWatcher.step();
+    BOOST_TEST(lastEvacuations() == " 4");
+}
+
+// Guards against an evacuation that stays unknown while the watch waits on a silent connection, and against a check
+// that publishes a state without the changes that only the watch has seen.
+BOOST_AUTO_TEST_CASE(watcherWithSilentWatchFindsEvacuationByCheck)
+{
+    evacuationWatcher.step();
+    setEvacuation("a", "{}");
+    evacuationWatcher.step();
+    BOOST_TEST(evacuationWatcher.check());
+    BOOST_TEST(lastEvacuations() == "a 3");
+    setEvacuation("b", "{}");
+    BOOST_TEST(evacuationWatcher.check());
+    BOOST_TEST(lastEvacuations() == "a,b 4");
+}
+
+// Guards against input errors of operators that evacuate a zone, stop the watch or fill the log.
+BOOST_AUTO_TEST_CASE(watcherWithInvalidEvacuationsLogsEachOnceAndEvacuatesOtherZones)
+{
+    for (int i = 0; i < 3; ++i) {
+        setEvacuation("a", "7");
+        setEvacuation("", "{}");
+        setEvacuation("b/c", "{}");
+        setEvacuation(std::string(65, 'x'), "{}");
+        setEvacuation("d", "{}");
+        evacuationWatcher.step();
+        BOOST_TEST(evacuationWatcher.check());
+    }
+    BOOST_TEST(joinNames(evacuations.back().zones) == "d");
+    BOOST_TEST(std::count(events.begin(), events.end(), "evacuationInvalid") == 4);
+    setEvacuation("d", "broken");
+    evacuationWatcher.step();
+    BOOST_TEST(evacuations.back().zones.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
