Limit the new flows of cold targets at their agents

Operators can declare how many new flows a second a target bears while it is cold after its start. Nothing read the declaration or the remaining time in the status reports, so a new target got a full share of the flows at once.

The balancer derives the limit from its table and settings and sends it with each offer. The agent counts the opening packets of the last second over all balancers, and returns offers above the limit. Its loads tell the balancers how many flows the target may still get, so that few offers are made in vain. A restarted agent assumes that the limit is used up. Without a declared rate only the assumed service time of an unmeasured cold target changes.

--- a/src/node/balancernode.cpp
+++ b/src/node/balancernode.cpp
@@ -29,6 +29,7 @@
     RelayBalancerSettings result;
     result.self = self;
     result.seeds = settings.seeds;
+    result.coldRateBounds = settings.coldRateBounds;
     result.randomSeed = self.id().value() ^ self.incarnation;
     return result;
 }
--- a/src/node/nodereport.cpp
+++ b/src/node/nodereport.cpp
@@ -81,6 +81,8 @@
         "returned_not_held_total", "Packets that the target returned", &RelayAgentCounters::returnedNotHeld},
     CounterRow<RelayAgentCounters> {
         "returned_wrong_group_total", "Packets for another group", &RelayAgentCounters::returnedWrongGroup},
+    CounterRow<RelayAgentCounters> {
+        "returned_cold_total", "Offers above the limit of a cold target", &RelayAgentCounters::returnedCold},
     CounterRow<RelayAgentCounters> {
         "searches_delivered_total", "Searched packets delivered", &RelayAgentCounters::searchesDelivered},
     CounterRow<RelayAgentCounters> {
@@ -156,6 +158,12 @@
     text.gauge("utilization", "Share of the slots in use", core.meter().utilization(now));
     text.gauge("flows", "Flows with a record", static_cast<double>(core.openFlows()));
     text.gauge("target_ready", "1 while new flows are taken", core.state(now) == TargetState::Ready ? 1.0 : 0.0);
+    const ColdStartLimiter &cold = core.coldStart();
+    text.gauge("cold_left_ms",
+               "Time for which the target still has a lower capacity after its start",
+               static_cast<double>(cold.coldLeft(now).count()));
+    text.gauge("cold_limit", "Maximum of new flows per second while cold, 0 if there is none", cold.limit());
+    text.gauge("recent_openings", "New flows that count towards the limit while cold", cold.openings(now));
     text.histogram("request_seconds", "Time from a request to its answer", core.requestTimes());
     addSockets(text, sockets);
     return text.text();
@@ -193,6 +201,9 @@
     dump["utilization"] = number(core.meter().utilization(now));
     dump["serviceTimeMs"] = number(core.meter().serviceTimeMs());
     dump["flows"] = number(static_cast<double>(core.openFlows()));
+    dump["coldLeftMs"] = number(static_cast<double>(core.coldStart().coldLeft(now).count()));
+    dump["coldLimit"] = number(core.coldStart().limit());
+    dump["recentOpenings"] = number(core.coldStart().openings(now));
     value balancers = value::array();
     for (const PeerDirectory::Entry *entry : core.peers().withRole(PeerRole::Balancer)) {
         balancers[balancers.size()] = value::string(entry->peer.name);
--- a/src/node/nodesettings.h
+++ b/src/node/nodesettings.h
@@ -2,6 +2,7 @@
 #define RHUBARBLANE_NODE_NODESETTINGS_H
 
 #include "base/clock.h"
+#include "relay/coldstartlimiter.h"
 #include "relay/peerdirectory.h"
 #include "wire/peeraddress.h"
 
@@ -29,6 +30,8 @@
     std::uint16_t callerPort = 0;
     /** Addresses of peers to contact at start; they may be stale. */
     std::vector<PeerAddress> seeds;
+    /** How far the new flows of cold targets may exceed their declared rate; used by balancers. */
+    ColdRateBounds coldRateBounds;
 
     // Settings of agents only.
     PeerAddress target;
--- a/src/relay/flowopener.cpp
+++ b/src/relay/flowopener.cpp
@@ -19,6 +19,8 @@
 // Limit on the new flows that wait until a target is known; callers retransmit the packets of further ones. With one
 // packet each, the flows take 1 MB.
 constexpr std::size_t MaximumQueuedFlows = 4096;
+// Offers of one flow, if cold targets return the last ones. Each takes a round trip between availability zones.
+constexpr std::size_t MaximumOffers = 8;
 // Share of a service's latency objective that a request may wait for a slot, in percent; the rest is for processing and
 // the network. A longer queue delays all requests without increasing the throughput.
 constexpr std::int64_t AcceptedWaitPercent = 45;
@@ -172,6 +174,10 @@
     ++context_.counters.offersReturned;
     BalancerFlow *flow = context_.flows.find(tuple);
     if (flow != nullptr && flow->owner == agent && flow->offered) {
+        if (reason == ReturnReason::Cold && flow->history.tried.size() < MaximumOffers) {
+            // The limit of a cold target tells nothing about the queues of the others.
+            flow->history.lastOfferMade = false;
+        }
         offerNext(now, *flow, nameOf(reason));
     }
 }
--- a/src/relay/flowplacement.cpp
+++ b/src/relay/flowplacement.cpp
@@ -26,9 +26,25 @@
 // flows leave the zone.
 constexpr double ZoneTolerance = 0.10;
 
-double serviceTimeOf(const KnownTarget &target, double mean)
+// Assumed service time of a cold target that has not measured a request, in units of the group's mean. Caches and
+// connections of a new process are empty; with twice the work a request its share of the flows is about a half.
+constexpr double ColdServiceTimeFactor = 2.0;
+// Openings count towards the limit of a cold target for about a second, so a number that is older tells nothing.
+constexpr Milliseconds ColdOpeningsValidity(1000);
+
+double serviceTimeOf(Timestamp now, const KnownTarget &target, double mean)
+{
+    if (target.serviceTimeMs > 0.0) {
+        return std::max(target.serviceTimeMs, mean * LeastServiceTimeShare);
+    }
+    return now < target.coldUntil ? mean * ColdServiceTimeFactor : mean;
+}
+
+/** Returns true if the target is cold and, as far as known, has got all new flows that it may get at this time. */
+bool isAtColdLimit(Timestamp now, const KnownTarget &target)
 {
-    return target.serviceTimeMs > 0.0 ? std::max(target.serviceTimeMs, mean * LeastServiceTimeShare) : mean;
+    const bool valid = now < target.coldUntil && now - target.loadTime < ColdOpeningsValidity;
+    return valid && target.coldOpeningsLeft && target.offered >= *target.coldOpeningsLeft;
 }
 
 double meanServiceTime(const std::vector<const KnownTarget *> &targets)
@@ -93,7 +109,7 @@
 
 FlowPlacement::Candidate::Candidate(Timestamp now, const KnownTarget &known, double meanServiceTimeMs)
     : target(&known)
-    , serviceTimeMs(serviceTimeOf(known, meanServiceTimeMs))
+    , serviceTimeMs(serviceTimeOf(now, known, meanServiceTimeMs))
     , requests(expectedRequests(now, known, serviceTimeMs))
 {
 }
@@ -133,6 +149,9 @@
     std::vector<Candidate> withQueue;
     std::vector<Candidate> withFreeSlot;
     for (const KnownTarget *target : usable) {
+        if (isAtColdLimit(now, *target)) {
+            continue;
+        }
         const Candidate candidate(now, *target, mean);
         if (candidate.requests < target->slots && !contains(history.tried, target->agent.address)) {
             withFreeSlot.push_back(candidate);
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -193,11 +193,17 @@
         returnPacket(now, from, ReturnReason::Busy, forward.packet());
         return;
     }
+    if (!coldStart_.mayOpen(now, forward.cold_limit())) {
+        ++counters_.returnedCold;
+        returnPacket(now, from, ReturnReason::Cold, forward.packet());
+        return;
+    }
     if (known != nullptr && known->openingSequence) {
         // The caller uses the port of an earlier flow again.
         flows_.discard(now, head.flow);
     }
     flows_.expectRequest(now, head.flow);
+    coldStart_.noteOpening(now);
     target_.noteOpeningPacketSent(now);
     deliver(now, from, forward.packet(), head, valueOf(ForwardMode::Open));
 }
@@ -369,7 +375,11 @@
         // A target that reported before this agent started still holds the flows whose packets it has sent.
         const bool keepsFlows = target_.startCount() == 1 && report.sequence > FirstReportSequence;
         flows_.handleTargetRestart(now, keepsFlows);
+        if (keepsFlows) {
+            coldStart_.assumeFull(now);
+        }
     }
+    noteColdness(now, report);
     if (change != TargetStatus::Change::None) {
         output_.logDecision("targetState",
                             {{"target", report.target},
@@ -381,6 +391,32 @@
     return true;
 }
 
+void RelayAgent::noteColdness(Timestamp now, const TargetReport &report)
+{
+    if (report.coldFor) {
+        coldStart_.noteReport(now, *report.coldFor);
+    } else if (!std::exchange(loggedUnknownColdness_, true)) {
+        output_.logDecision("targetColdUnknown",
+                            {{"target", report.target}, {"sequence", std::to_string(report.sequence)}});
+    }
+    logColdness(now);
+}
+
+void RelayAgent::logColdness(Timestamp now)
+{
+    const bool cold = coldStart_.isCold(now);
+    if (cold == std::exchange(loggedCold_, cold)) {
+        return;
+    }
+    output_.logDecision(cold ? "targetCold" : "targetWarm",
+                        {{"target", target_.target()},
+                         {"coldForMs", std::to_string(coldStart_.coldLeft(now).count())},
+                         {"limit", std::to_string(coldStart_.limit())},
+                         {"openings", std::to_string(coldStart_.openings(now))},
+                         {"returnedCold", std::to_string(counters_.returnedCold)}});
+    peers_.requestReport(now);
+}
+
 void RelayAgent::onTargetLeft(Timestamp now, const std::string &target)
 {
     const bool current = target_.noteLeave(target);
@@ -408,6 +444,7 @@
         reportedState_ = current;
         peers_.requestReport(now);
     }
+    logColdness(now);
     if (peers_.isReportDue(now)) {
         peers_.sendReport(now, makeReport(now));
     }
@@ -437,6 +474,10 @@
     load.set_service_time_us(static_cast<std::uint32_t>(flows_.meter().serviceTimeMs() * 1000.0));
     load.set_utilization(static_cast<std::uint32_t>(flows_.meter().utilization(now) * 1000.0));
     load.set_state(static_cast<std::uint32_t>(state(now)));
+    load.set_cold_left_ms(static_cast<std::uint32_t>(coldStart_.coldLeft(now).count()));
+    if (const std::optional<std::uint32_t> left = coldStart_.openingsLeft(now)) {
+        load.set_cold_openings_left(*left + 1);
+    }
 }
 
 bool RelayAgent::isTargetGone(Timestamp now) const
--- a/src/relay/relayagent.h
+++ b/src/relay/relayagent.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "relay/agentpeers.h"
+#include "relay/coldstartlimiter.h"
 #include "relay/packetformat.h"
 #include "relay/relayagentcounters.h"
 #include "relay/relayoutput.h"
@@ -77,6 +78,10 @@
     {
         return flows_.requestTimes();
     }
+    const ColdStartLimiter &coldStart() const
+    {
+        return coldStart_;
+    }
     std::size_t openFlows() const
     {
         return flows_.size();
@@ -112,6 +117,9 @@
     handleSearch(Timestamp now, const PeerAddress &from, const wire::relay::Forward &forward, const RelayPacket &head);
     wire::relay::Report makeReport(Timestamp now);
     void fillLoad(Timestamp now, wire::relay::Load &load);
+    /** Applies what a report says about the lower capacity after a start of the target. */
+    void noteColdness(Timestamp now, const TargetReport &report);
+    void logColdness(Timestamp now);
     /** Returns true if the target may hold a flow that the agent has no record of. */
     bool mayHoldUntrackedFlows(Timestamp now) const;
     std::uint32_t tagFor(const PeerAddress &balancer, std::uint32_t mode);
@@ -127,6 +135,9 @@
     Timestamp nextSweep_;
     std::uint64_t loadSequence_ = 0;
     TargetState reportedState_ = TargetState::Unknown;
+    ColdStartLimiter coldStart_;
+    bool loggedCold_ = false;
+    bool loggedUnknownColdness_ = false;
     /** Time since which the target may hold flows without a record; no value if it holds none. */
     std::optional<Timestamp> uncertainSince_;
     std::optional<Timestamp> leaving_;
--- a/src/relay/relayagentcounters.h
+++ b/src/relay/relayagentcounters.h
@@ -16,6 +16,7 @@
     std::uint64_t returnedNotReady = 0;
     std::uint64_t returnedNotHeld = 0;
     std::uint64_t returnedWrongGroup = 0;
+    std::uint64_t returnedCold = 0;
     std::uint64_t searchesDelivered = 0;
     std::uint64_t searchesAbsent = 0;
     std::uint64_t resetsDropped = 0; ///< Resets from the target's VM for flows that the target does not hold.
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -189,7 +189,7 @@
 {
     context_.targets.updateLoad(now, from, returned.load());
     const std::optional<RelayPacket> head = context_.format.decode(returned.packet(), PacketOrigin::Caller);
-    if (!head || !context_.table || returned.reason() > static_cast<std::uint32_t>(ReturnReason::WrongGroup)) {
+    if (!head || !context_.table || returned.reason() > static_cast<std::uint32_t>(ReturnReason::Cold)) {
         ++context_.counters.malformed;
         return;
     }
@@ -284,6 +284,7 @@
          {"checkAgeMs", std::to_string(tableCheckAge(now).value_or(Milliseconds(-1)).count())}});
     context_.table = std::move(table);
     context_.table->indexPriorities();
+    context_.table->indexColdRates();
     context_.peers.setTableVersion(now, context_.table->version);
 }
 
--- a/src/relay/relaybalancercontext.cpp
+++ b/src/relay/relaybalancercontext.cpp
@@ -40,6 +40,9 @@
     forward->set_group(group.value());
     forward->set_mode(static_cast<std::uint32_t>(mode));
     forward->set_accepted_wait_ms(static_cast<std::uint32_t>(wait.count()));
+    if (mode == ForwardMode::Open && table) {
+        forward->set_cold_limit(settings.coldRateBounds.limitFor(table->coldFlowRateOf(group)));
+    }
     forward->set_packet(packet.data(), packet.size());
     output.sendToPeer(agent, message);
 }
--- a/src/relay/relaybalancercontext.h
+++ b/src/relay/relaybalancercontext.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "relay/balancerflow.h"
 #include "relay/balancerpeers.h"
+#include "relay/coldstartlimiter.h"
 #include "relay/packetformat.h"
 #include "relay/pausedetector.h"
 #include "relay/recentflows.h"
@@ -28,6 +29,7 @@
     /** Maximum number of flows whose owner is kept. */
     std::size_t flowLimit = 200000;
     std::uint64_t randomSeed = 1;
+    ColdRateBounds coldRateBounds = ColdRateBounds();
 };
 
 struct RelayBalancerCounters {
--- a/src/relay/relaytypes.cpp
+++ b/src/relay/relaytypes.cpp
@@ -49,6 +49,8 @@
         return "notHeld";
     case ReturnReason::WrongGroup:
         return "wrongGroup";
+    case ReturnReason::Cold:
+        return "cold";
     }
     return "invalid";
 }
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -52,6 +52,7 @@
     NotReady = 2, ///< The target is draining, gone, unresponsive or not known yet, or the agent shuts down.
     NotHeld = 3, ///< The target does not hold the flow of the packet, or has ended.
     WrongGroup = 4, ///< The agent serves another group.
+    Cold = 6, ///< The target is cold and has got the maximum number of new flows within the last second.
 };
 
 /** An agent's statement about a flow. The values are on the wire. */
--- a/src/relay/servicetable.cpp
+++ b/src/relay/servicetable.cpp
@@ -3,6 +3,8 @@
 #include "base/invariant.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <numeric>
 #include <utility>
 
@@ -20,6 +22,7 @@
 // A peer sends all parts at once, and they are requested again after 100 ms.
 constexpr Milliseconds AssemblyTimeout(1000);
 constexpr std::uint32_t MaximumPort = 65535;
+constexpr double MilliPerUnit = 1000.0;
 
 bool isWellFormed(const wire::relay::TablePart &part)
 {
@@ -39,6 +42,12 @@
         wire::relay::WeightedGroup *encoded = result.add_groups();
         encoded->set_group(group.name);
         encoded->set_weight(group.weight);
+        if (group.coldFlowRate > 0.0) {
+            // A rate that is rounded to 0 would mean no limit.
+            const double milli =
+                std::clamp(group.coldFlowRate * MilliPerUnit, 1.0, 1.0 * std::numeric_limits<std::uint32_t>::max());
+            encoded->set_cold_rate_milli(static_cast<std::uint32_t>(std::round(milli)));
+        }
     }
     result.set_timeout_ms(static_cast<std::uint32_t>(service.timeout.count()));
     result.set_objective_ms(static_cast<std::uint32_t>(service.objective.count()));
@@ -53,7 +62,8 @@
     result.name = encoded.name();
     result.address = {encoded.address(), static_cast<std::uint16_t>(encoded.port())};
     for (const wire::relay::WeightedGroup &group : encoded.groups()) {
-        result.groups.push_back({group.group(), groupIdOf(group.group()), group.weight()});
+        result.groups.push_back(
+            {group.group(), groupIdOf(group.group()), group.weight(), group.cold_rate_milli() / MilliPerUnit});
     }
     result.timeout = Milliseconds(encoded.timeout_ms());
     result.objective = Milliseconds(encoded.objective_ms());
@@ -98,6 +108,25 @@
     }
 }
 
+void ServiceTable::indexColdRates()
+{
+    coldFlowRates.clear();
+    for (const auto &[address, service] : services) {
+        for (const WeightedGroup &group : service.groups) {
+            if (group.coldFlowRate > 0.0) {
+                const auto [position, inserted] = coldFlowRates.try_emplace(group.id, group.coldFlowRate);
+                position->second = std::min(position->second, group.coldFlowRate);
+            }
+        }
+    }
+}
+
+double ServiceTable::coldFlowRateOf(GroupId group) const
+{
+    const auto found = coldFlowRates.find(group);
+    return found == coldFlowRates.end() ? 0.0 : found->second;
+}
+
 bool ServiceTable::isLessUrgent(const RelayedService &service) const
 {
     return std::any_of(service.groups.begin(), service.groups.end(), [&](const WeightedGroup &group) {
--- a/src/relay/servicetable.h
+++ b/src/relay/servicetable.h
@@ -21,6 +21,8 @@
     std::string name;
     GroupId id;
     std::uint32_t weight = 1;
+    /** Declared rate of new flows that a cold target of the group bears, in flows per second; 0 if none is declared. */
+    double coldFlowRate = 0.0;
 };
 
 /** A service that callers reach at one address and port. */
@@ -49,11 +51,21 @@
     /** The most urgent priority among the services of each group; see indexPriorities(). */
     std::map<GroupId, std::uint32_t> highestPriorities;
 
+    /** The lowest declared rate of each group that has one; see indexColdRates(). */
+    std::map<GroupId, double> coldFlowRates;
+
     const RelayedService *find(const FlowTuple &flow) const;
 
     /** Must be called when the services are complete. */
     void indexPriorities();
 
+    /** Must be called when the services are complete. */
+    void indexColdRates();
+
+    /** Returns the rate of new flows that a cold target of the group bears, in flows per second; 0 if none is declared.
+     */
+    double coldFlowRateOf(GroupId group) const;
+
     /** Returns true if a group of the service also serves a more urgent service. */
     bool isLessUrgent(const RelayedService &service) const;
 };
--- a/src/relay/targetdirectory.h
+++ b/src/relay/targetdirectory.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -30,6 +31,10 @@
     std::uint32_t openFlows = 0;
     double serviceTimeMs = 0.0;
     double utilization = 0.0;
+    /** Until this time the target has a lower capacity after its start. */
+    Timestamp coldUntil;
+    /** Number of new flows that the cold target may still get as of its load; no value if no limit is known. */
+    std::optional<std::uint32_t> coldOpeningsLeft;
 
     Timestamp lastContact;
     /** Time at which the current load was received. */
--- a/src/relay/targetstatus.h
+++ b/src/relay/targetstatus.h
@@ -23,6 +23,8 @@
     std::uint64_t sequence = 0;
     std::uint32_t slots = 1;
     bool draining = false;
+    /** Time for which the target still has a lower capacity; no value if the report does not tell. */
+    std::optional<Milliseconds> coldFor;
 
     bool isOfSameStart(const TargetReport &other) const
     {
--- a/src/tests/flowplacementtest.cpp
+++ b/src/tests/flowplacementtest.cpp
@@ -152,6 +152,54 @@
     BOOST_TEST(firstOffers(targets, 100).size() == 2u);
 }
 
+// Guards against offers that a cold target can only return.
+BOOST_AUTO_TEST_CASE(placementWithColdTargetAtItsLimitAvoidsItForSecond)
+{
+    std::vector<KnownTarget> targets {target(1, 0, 20.0), target(2, 0, 20.0)};
+    targets[0].coldUntil = now + Milliseconds(3000);
+    targets[0].coldOpeningsLeft = 2;
+    targets[0].offered = 1;
+    BOOST_TEST(firstOffers(targets, 50)[1] > 0);
+    targets[0].offered = 2;
+    BOOST_TEST(firstOffers(targets, 50).count(1) == 0u);
+    now = now + Milliseconds(1000);
+    targets[0].lastContact = now;
+    targets[1].lastContact = now;
+    BOOST_TEST(firstOffers(targets, 50)[1] > 0);
+}
+
+// Guards against a group without use because a limit is remembered after the target has become warm.
+BOOST_AUTO_TEST_CASE(placementWithWarmTargetIgnoresItsEarlierLimit)
+{
+    std::vector<KnownTarget> targets {target(1, 0, 20.0)};
+    targets[0].coldOpeningsLeft = 0;
+    targets[0].coldUntil = now;
+    BOOST_TEST(firstOffers(targets, 10)[1] == 10);
+}
+
+// Guards against flows that are queued at, or offered to, targets that must not take them.
+BOOST_AUTO_TEST_CASE(placementWithAllTargetsAtColdLimitRefusesAsOverload)
+{
+    std::vector<KnownTarget> targets {target(1, 0, 20.0), target(2, 0, 20.0)};
+    for (KnownTarget &each : targets) {
+        each.coldUntil = now + Milliseconds(3000);
+        each.coldOpeningsLeft = 0;
+    }
+    BOOST_TEST((refusal(targets, {}) == Refusal::Overload));
+}
+
+// Guards against a new target that gets a full share of the flows before it has shown how slow it is.
+BOOST_AUTO_TEST_CASE(placementWithColdTargetWithoutMeasurementGivesItFewerFlows)
+{
+    std::vector<KnownTarget> targets {target(1, 0, 20.0), target(2, 0, 0.0)};
+    targets[1].coldUntil = now + Milliseconds(3000);
+    std::map<std::uint32_t, int> counts = firstOffers(targets, 1000);
+    BOOST_TEST(counts[2] > 50);
+    BOOST_TEST(counts[2] * 2 < counts[1]);
+    targets[1].coldUntil = now;
+    BOOST_TEST(firstOffers(targets, 1000)[2] > 400);
+}
+
 // Guards against endless offers: the last one is marked and carries the accepted wait.
 BOOST_AUTO_TEST_CASE(placementAfterThreeOffersMakesLastOneWithWait)
 {
--- a/src/tests/relaysimulation.h
+++ b/src/tests/relaysimulation.h
@@ -245,6 +245,21 @@
         bool resetsRequests = false; ///< Resets its flows instead of answering requests.
         std::set<std::uint16_t> flows; ///< The flows held, by the callers' ports.
         std::uint64_t requests = 0;
+        Timestamp coldUntil = Timestamp(); ///< Reported in the status reports.
+        std::vector<Timestamp> openings =
+            {}; ///< Arrivals of the opening packets of flows that the target did not hold.
+
+        /** Returns the highest number of openings within any second. */
+        std::size_t mostOpeningsInSecond() const
+        {
+            std::size_t most = 0;
+            for (auto first = openings.begin(); first != openings.end(); ++first) {
+                const auto last = std::find_if(
+                    first, openings.end(), [first](Timestamp time) { return time - *first > Milliseconds(1000); });
+                most = std::max<std::size_t>(most, last - first);
+            }
+            return most;
+        }
     };
 
     struct Vm : RelayOutput {
@@ -444,6 +459,9 @@
             sendFromTarget(vm, 1, RelayCaller::returned(packet));
             return;
         }
+        if (!held) {
+            vm.target.openings.push_back(now_);
+        }
         vm.target.flows.insert(bytes.sourcePort);
         if (bytes.opening) {
             sendFromTarget(vm, 1, caller.answer(true, 0));
@@ -485,6 +503,7 @@
                 report.sequence = ++vm->target.sequence;
                 report.slots = 2;
                 report.draining = vm->target.draining;
+                report.coldFor = std::max(Milliseconds(0), vm->target.coldUntil - now_);
                 vm->agent->onTargetReport(now_, report);
             }
             vm->agent->onTick(now_);
--- a/src/tests/servicetabletest.cpp
+++ b/src/tests/servicetabletest.cpp
@@ -55,6 +55,20 @@
     BOOST_TEST((result->services.at({0xc6120001, 3}).groups.front().id == groupIdOf("desk")));
 }
 
+// Guards against a limit of cold targets that is lost on the way to a peer, or that becomes "none" by rounding.
+BOOST_AUTO_TEST_CASE(assemblerWithColdRatesKeepsThem)
+{
+    ServiceTable sent = table(7, 3);
+    sent.services.at({0xc6120001, 1}).groups.front().coldFlowRate = 12.5;
+    sent.services.at({0xc6120001, 2}).groups = {{"slow", groupIdOf("slow"), 1, 0.0001}};
+    std::optional<ServiceTable> result = assembler.add(now, splitTable(sent).front());
+    BOOST_REQUIRE(result.has_value());
+    result->indexColdRates();
+    BOOST_TEST(result->coldFlowRateOf(groupIdOf("desk")) == 12.5);
+    BOOST_TEST(result->coldFlowRateOf(groupIdOf("slow")) == 0.001);
+    BOOST_TEST(result->coldFlowRateOf(groupIdOf("other")) == 0.0);
+}
+
 // Guards against a table that is assembled from parts of two versions.
 BOOST_AUTO_TEST_CASE(assemblerWithTwoVersionsGivesNewerOneOnly)
 {
