--- a/src/tests/coldstartlimitertest.cpp
+++ b/src/tests/coldstartlimitertest.cpp
@@ -251,6 +251,8 @@
     simulation.send(*balancers[0], first.opening());
     simulation.run(100);
     BOOST_TEST((agents[0]->target.flows == std::set<std::uint16_t> {1, 2, 3}));
+    // Three opening packets, and five copies of the first one.
+    BOOST_TEST(agents[0]->agent->counters().packetsIn == 8u);
     BOOST_TEST(simulation.resets == 2);
 }
 
