--- a/src/relay/relayagentcounters.h
+++ b/src/relay/relayagentcounters.h
@@ -17,6 +17,7 @@
     std::uint64_t returnedNotHeld = 0;
     std::uint64_t returnedWrongGroup = 0;
     std::uint64_t returnedEvacuated = 0;
+    std::uint64_t returnedCold = 0;
     std::uint64_t searchesDelivered = 0;
     std::uint64_t searchesAbsent = 0;
     std::uint64_t flowListsSent = 0;
--- a/src/relay/relaybalancercontext.h
+++ b/src/relay/relaybalancercontext.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "relay/balancerflow.h"
 #include "relay/balancerpeers.h"
+#include "relay/coldstartlimiter.h"
 #include "relay/evacuations.h"
 #include "relay/packetformat.h"
 #include "relay/pausedetector.h"
@@ -31,6 +32,7 @@
     std::uint64_t randomSeed = 1;
     /** The operators may evacuate availability zones, so no new flow is placed before the evacuations are known. */
     bool evacuations = false;
+    ColdRateBounds coldRateBounds = ColdRateBounds();
 };
 
 struct RelayBalancerCounters {
--- a/src/relay/relaytypes.cpp
+++ b/src/relay/relaytypes.cpp
@@ -51,6 +51,8 @@
         return "wrongGroup";
     case ReturnReason::Evacuated:
         return "evacuated";
+    case ReturnReason::Cold:
+        return "cold";
     }
     return "invalid";
 }
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -53,6 +53,7 @@
     NotHeld = 3, ///< The target does not hold the flow of the packet, or has ended.
     WrongGroup = 4, ///< The agent serves another group.
     Evacuated = 5, ///< The agent's availability zone is evacuated.
+    Cold = 6, ///< The target is cold and has got the maximum number of new flows within the last second.
 };
 
 /** An agent's statement about a flow. The values are on the wire. */
