--- a/src/relay/targetstatus.h
+++ b/src/relay/targetstatus.h
@@ -24,7 +24,7 @@
     std::uint32_t slots = 1;
     bool draining = false;
     /** Time for which the target still has a lower capacity; no value if the report does not tell. */
-    std::optional<Milliseconds> coldFor;
+    std::optional<Milliseconds> coldFor = std::nullopt;
 
     bool isOfSameStart(const TargetReport &other) const
     {
