Treat a target as cold from the end of its zone's evacuation to its next report

A target may become cold while its zone is evacuated, and says so in its next report only, up to a report interval after the zone is taken back. Until then its agent applies the limit of cold targets.

--- a/src/relay/coldstartlimiter.cpp
+++ b/src/relay/coldstartlimiter.cpp
@@ -15,6 +15,8 @@
 // arriving within one second.
 constexpr Milliseconds ArrivalMargin(100);
 constexpr Milliseconds Window = Milliseconds(1000) + ArrivalMargin;
+// A report that arrives this long after the target may have become cold was sent after that.
+constexpr Milliseconds ReportDelay(100);
 
 } // namespace
 
@@ -33,9 +35,20 @@
 
 void ColdStartLimiter::noteReport(Timestamp now, Milliseconds coldFor)
 {
+    const bool maySayTooLittle = assumedSince_ && now - *assumedSince_ < ReportDelay && coldFor < coldLeft(now);
+    if (maySayTooLittle) {
+        return;
+    }
+    assumedSince_.reset();
     coldUntil_ = now + coldFor;
 }
 
+void ColdStartLimiter::assumeCold(Timestamp now, Milliseconds period)
+{
+    assumedSince_ = now;
+    coldUntil_ = std::max(coldUntil_, now + period);
+}
+
 void ColdStartLimiter::assumeFull(Timestamp now)
 {
     fullUntil_ = now + Window;
--- a/src/relay/coldstartlimiter.h
+++ b/src/relay/coldstartlimiter.h
@@ -32,6 +32,12 @@
     /** Applies a status report: the target stays cold for `coldFor`, 0 if it is warm. */
     void noteReport(Timestamp now, Milliseconds coldFor);
 
+    /**
+     * The target may have become cold without a report of it yet. It counts as cold for `period`, or until a report
+     * that was sent later shows its state.
+     */
+    void assumeCold(Timestamp now, Milliseconds period);
+
     /** The target may have taken any number of flows before `now` that the agent did not see. */
     void assumeFull(Timestamp now);
 
@@ -66,6 +72,7 @@
 
 private:
     Timestamp coldUntil_;
+    std::optional<Timestamp> assumedSince_;
     Timestamp fullUntil_;
     std::uint32_t limit_ = 0;
     /** Times of the last openings, oldest first. */
--- a/src/tests/coldstartlimitertest.cpp
+++ b/src/tests/coldstartlimitertest.cpp
@@ -150,6 +150,19 @@
     BOOST_TEST(offer(10) == 3);
 }
 
+// Guards against a full load in the time between the event that makes a target cold and its next report.
+BOOST_AUTO_TEST_CASE(limiterOfTargetThatMayBeColdWaitsForLaterReport)
+{
+    limiter.noteReport(now, Milliseconds(0));
+    limiter.assumeCold(now, Milliseconds(3000));
+    now = now + Milliseconds(99);
+    limiter.noteReport(now, Milliseconds(0));
+    BOOST_TEST(limiter.isCold(now));
+    now = now + Milliseconds(1);
+    limiter.noteReport(now, Milliseconds(0));
+    BOOST_TEST(!limiter.isCold(now));
+}
+
 // Guards against limits that are lower than declared because of rounding, and against a target without any flow.
 BOOST_AUTO_TEST_CASE(boundsGiveWholeLimit)
 {
