Hand new flows on from agent to agent, and expect the measured utilization

Balancers know a target's load 0.25 to 2 s late. With age their estimate tended to no request at all, so the last offer of all of them went to the one target with the shortest service time: its queue was full while others idled, and flows were refused. Each returned offer took a round trip to the balancer, which then chose by the same knowledge.

* The estimate tends to the number of requests that the measured utilization implies.
* The last offer is drawn by free capacity, the better of two, in place of the best of all.
* An offer names up to two candidates.
The last one returns the packet to the balancer.
* Repeated opening packets are not forwarded while an offer with candidates is outstanding: any of them may hold the flow. balancerWithRepeatedOpeningPacketKeepsTarget expected such a copy at the agent of the offer; it now expects none before the flow is open and one at its owner afterwards, and a test with a single target keeps the old check.

--- a/src/node/nodereport.cpp
+++ b/src/node/nodereport.cpp
@@ -37,6 +37,9 @@
         "offers_unanswered_total", "Offers without an answer in time", &RelayBalancerCounters::offersUnanswered},
     CounterRow<RelayBalancerCounters> {
         "flows_opened_total", "Flows that a target opened", &RelayBalancerCounters::flowsOpened},
+    CounterRow<RelayBalancerCounters> {"flows_handed_on_total",
+                                       "Opened flows that another agent than that of the offer accepted",
+                                       &RelayBalancerCounters::flowsHandedOn},
     CounterRow<RelayBalancerCounters> {"ports_reused_total",
                                        "New flows on an address and port with a recorded flow",
                                        &RelayBalancerCounters::portsReused},
@@ -71,6 +74,8 @@
         "packets_malformed_total", "Packets and messages that cannot be read", &RelayAgentCounters::malformed},
     CounterRow<RelayAgentCounters> {
         "flows_opened_total", "Flows that the target opened", &RelayAgentCounters::flowsOpened},
+    CounterRow<RelayAgentCounters> {
+        "handed_on_total", "Opening packets sent to the next candidate", &RelayAgentCounters::handedOn},
     CounterRow<RelayAgentCounters> {
         "returned_busy_total", "Offers returned for their wait", &RelayAgentCounters::returnedBusy},
     CounterRow<RelayAgentCounters> {
--- a/src/relay/balancerflow.h
+++ b/src/relay/balancerflow.h
@@ -5,9 +5,11 @@
 #include "relay/recentflows.h"
 #include "wire/peeraddress.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace rhubarblane
 {
@@ -32,9 +34,17 @@
     /** The flow is queued until the balancer knows targets. */
     bool queued = false;
     OfferHistory history;
+    /** Agents to which the last offer is possibly handed on. */
+    std::vector<PeerAddress> candidates;
     /** The load estimate on which the last offer was based, for the log. */
     TargetEstimate estimate;
     std::string openingPacket;
+
+    /** Returns true if the agent got the last offer or is one of its candidates. */
+    bool isOfferedTo(const PeerAddress &agent) const
+    {
+        return owner == agent || std::find(candidates.begin(), candidates.end(), agent) != candidates.end();
+    }
 };
 
 } // namespace rhubarblane
--- a/src/relay/flowopener.cpp
+++ b/src/relay/flowopener.cpp
@@ -62,6 +62,11 @@
     BalancerFlow &flow = context_.flows.touch(now, head.flow);
     const KnownTarget *owner = context_.ownerOf(flow);
     if (owner != nullptr && !owner->offerUnanswered && service.hasGroup(flow.group)) {
+        if (flow.offered && !flow.candidates.empty()) {
+            // Any of the candidates may hold the flow by now; a copy sent to another one would open it twice. If the
+            // offer is lost, its timeout sends the packet again.
+            return;
+        }
         // A retransmitted opening packet; the target answers it again.
         context_.forward(flow.owner, flow.group, ForwardMode::Open, acceptedWait(service), packet);
         return;
@@ -96,16 +101,17 @@
     }
     const Offer &offer = std::get<Offer>(next);
     ++context_.counters.offers;
-    flow.history.tried.push_back(offer.agent);
-    flow.history.lastOfferMade = offer.last;
+    flow.history.noteOffer(offer);
     flow.owner = offer.agent;
+    flow.candidates = offer.candidates;
     flow.group = group.id;
     flow.offered = true;
     flow.offeredAt = now;
     flow.estimate = offer.estimate;
     offers_.emplace_back(flow.tuple, now);
     context_.targets.noteOffer(offer.agent);
-    context_.forward(offer.agent, group.id, ForwardMode::Open, offer.acceptedWait, flow.openingPacket);
+    context_.forward(
+        offer.agent, group.id, ForwardMode::Open, offer.acceptedWait, flow.openingPacket, offer.candidates);
     return Placement::Offered;
 }
 
@@ -142,6 +148,7 @@
     flow.owner = PeerAddress();
     flow.offered = false;
     flow.history = OfferHistory();
+    flow.candidates = {};
     if (!std::exchange(flow.queued, true)) {
         queuedFlows_.push_back(flow.tuple);
     }
@@ -171,11 +178,21 @@
 {
     ++context_.counters.offersReturned;
     BalancerFlow *flow = context_.flows.find(tuple);
-    if (flow != nullptr && flow->owner == agent && flow->offered) {
+    if (flow != nullptr && flow->offered && flow->isOfferedTo(agent)) {
         offerNext(now, *flow, nameOf(reason));
     }
 }
 
+void FlowOpener::noteUnansweredOffer(const BalancerFlow &flow)
+{
+    const KnownTarget *first = context_.targets.find(flow.owner);
+    // If the first agent is heard, a candidate or a message between them was lost.
+    const bool heard = first != nullptr && !flow.candidates.empty() && flow.offeredAt < first->lastContact;
+    if (!heard) {
+        context_.targets.noteUnansweredOffer(flow.owner);
+    }
+}
+
 void FlowOpener::onTick(Timestamp now, Timestamp messagesRead)
 {
     while (!offers_.empty() && messagesRead - offers_.front().second >= OfferTimeout) {
@@ -184,7 +201,7 @@
         BalancerFlow *flow = context_.flows.find(tuple);
         if (flow != nullptr && flow->offered && flow->offeredAt == offeredAt) {
             ++context_.counters.offersUnanswered;
-            context_.targets.noteUnansweredOffer(flow->owner);
+            noteUnansweredOffer(*flow);
             offerNext(now, *flow, "unanswered");
         }
     }
--- a/src/relay/flowopener.h
+++ b/src/relay/flowopener.h
@@ -53,6 +53,8 @@
     void enqueue(BalancerFlow &flow);
     /** Offers the flows that were queued because no target was known. */
     void placeQueuedFlows(Timestamp now);
+    /** Excludes the target of an offer without an answer, unless it is a candidate that does not answer. */
+    void noteUnansweredOffer(const BalancerFlow &flow);
     Milliseconds acceptedWait(const RelayedService &service) const;
 
     RelayBalancerContext &context_;
--- a/src/relay/flowplacement.cpp
+++ b/src/relay/flowplacement.cpp
@@ -1,6 +1,9 @@
 #include "relay/flowplacement.h"
 
+#include "relay/handon.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace rhubarblane
 {
@@ -10,6 +13,9 @@
 
 // Three offers to targets with a free slot result in the least imbalance; see docs/decisions.md.
 constexpr std::size_t OffersWithFreeSlot = 3;
+// Agents to which the packet of an offer is handed on if the first one has no room. A third one costs more messages
+// and bytes than it saves; see docs/decisions.md.
+constexpr std::size_t OfferCandidates = 2;
 // Used until a target of the group has measured a request; the mean service time of the reference workloads.
 constexpr double DefaultServiceTimeMs = 20.0;
 // Round-trip time between availability zones of the reference deployments.
@@ -44,13 +50,18 @@
     return measured == 0 ? DefaultServiceTimeMs : sum / measured;
 }
 
-/** Estimates the requests at the target: those of its last load and of later offers, minus those that ended since. */
-std::uint32_t expectedRequests(Timestamp now, const KnownTarget &target, double serviceTimeMs)
+/**
+ * Estimates the requests at the target. Those of its last load and of later offers end in the course of time, while
+ * other balancers place further ones: the estimate tends to the number that the measured utilization implies. If it
+ * tended to none, all balancers would choose the target with the shortest service time at once.
+ */
+double expectedRequests(Timestamp now, const KnownTarget &target, double serviceTimeMs)
 {
-    const std::uint32_t known = target.busy + target.opening + target.offered;
+    const double known = target.busy + target.opening + target.offered;
+    const double steady = target.utilization * target.slots;
     const auto age = static_cast<double>(std::max<std::int64_t>(0, (now - target.loadTime).count()));
-    const auto ended = static_cast<std::uint32_t>(std::min(age / serviceTimeMs * target.slots, 1.0 * known));
-    return known - ended;
+    const double change = age / serviceTimeMs * target.slots;
+    return known > steady ? std::max(steady, known - change) : std::min(steady, known + change);
 }
 
 std::vector<const KnownTarget *> usableOf(Timestamp now, const std::vector<const KnownTarget *> &group)
@@ -86,6 +97,13 @@
     return refusal == Refusal::NoTarget ? "noTarget" : "overload";
 }
 
+void OfferHistory::noteOffer(const Offer &offer)
+{
+    tried.push_back(offer.agent);
+    tried.insert(tried.end(), offer.candidates.begin(), offer.candidates.end());
+    lastOfferMade = offer.last;
+}
+
 FlowPlacement::FlowPlacement(std::uint64_t seed)
     : random_(seed)
 {
@@ -100,7 +118,7 @@
 
 double FlowPlacement::Candidate::expectedTime() const
 {
-    const double waiting = requests >= target->slots ? requests + 1 - target->slots : 0;
+    const double waiting = std::max(0.0, requests + 1.0 - target->slots);
     return serviceTimeMs * (1.0 + waiting / target->slots) + (target->sameZone ? 0.0 : CrossZoneLatencyMs);
 }
 
@@ -114,7 +132,9 @@
     return {target->agent.address,
             acceptedWait,
             last,
-            TargetEstimate {requests, target->serviceTimeMs, now - target->loadTime}};
+            TargetEstimate {
+                static_cast<std::uint32_t>(std::lround(requests)), target->serviceTimeMs, now - target->loadTime},
+            {}};
 }
 
 std::variant<Offer, Refusal> FlowPlacement::next(Timestamp now,
@@ -142,16 +162,18 @@
         }
     }
     if (!withFreeSlot.empty() && history.tried.size() < OffersWithFreeSlot) {
-        return chooseFree(withFreeSlot).offer(now, Milliseconds(0), false);
+        const Candidate first = chooseFree(withFreeSlot);
+        Offer offer = first.offer(now, Milliseconds(0), false);
+        offer.candidates = chooseFurther(std::move(withFreeSlot), first, OfferCandidates);
+        return offer;
     }
     if (withQueue.empty()) {
         return Refusal::Overload;
     }
-    const Candidate &best =
-        *std::min_element(withQueue.begin(), withQueue.end(), [](const Candidate &a, const Candidate &b) {
-            return a.expectedTime() < b.expectedTime();
-        });
-    return best.offer(now, acceptedWait, true);
+    const Candidate first = chooseFree(withQueue);
+    Offer offer = first.offer(now, acceptedWait, true);
+    offer.candidates = chooseFurther(std::move(withQueue), first, OfferCandidates);
+    return offer;
 }
 
 FlowPlacement::Candidate FlowPlacement::chooseFree(const std::vector<Candidate> &candidates)
@@ -172,6 +194,24 @@
     return second.expectedTime() < first.expectedTime() ? second : first;
 }
 
+std::vector<PeerAddress>
+FlowPlacement::chooseFurther(std::vector<Candidate> candidates, const Candidate &chosen, std::size_t limit)
+{
+    std::vector<PeerAddress> further;
+    const KnownTarget *last = chosen.target;
+    while (true) {
+        candidates.erase(std::remove_if(candidates.begin(),
+                                        candidates.end(),
+                                        [last](const Candidate &candidate) { return candidate.target == last; }),
+                         candidates.end());
+        if (candidates.empty() || further.size() >= limit) {
+            return further;
+        }
+        last = candidates.size() == 1 ? candidates.front().target : chooseFree(candidates).target;
+        further.push_back(last->agent.address);
+    }
+}
+
 const FlowPlacement::Candidate &FlowPlacement::drawByFreeCapacity(const std::vector<Candidate> &candidates)
 {
     double total = 0.0;
--- a/src/relay/flowplacement.h
+++ b/src/relay/flowplacement.h
@@ -28,6 +28,8 @@
     /** No further offer follows if this one is returned. */
     bool last = false;
     TargetEstimate estimate;
+    /** Agents to which the opening packet is handed on, in this order, while they have no free slot. */
+    std::vector<PeerAddress> candidates;
 };
 
 /** The reason why a new flow is refused. */
@@ -40,6 +42,9 @@
 
 /** The previous offers of a new flow. */
 struct OfferHistory {
+    void noteOffer(const Offer &offer);
+
+    /** The agents that got the offers, and those to which these were possibly handed on. */
     std::vector<PeerAddress> tried;
     bool lastOfferMade = false;
 };
@@ -72,10 +77,13 @@
 
         const KnownTarget *target;
         double serviceTimeMs;
-        std::uint32_t requests;
+        double requests;
     };
 
     Candidate chooseFree(const std::vector<Candidate> &candidates);
+    /** Removes `chosen` from `candidates` and returns further agents for the hand-on of its offer. */
+    std::vector<PeerAddress>
+    chooseFurther(std::vector<Candidate> candidates, const Candidate &chosen, std::size_t limit);
     const Candidate &drawByFreeCapacity(const std::vector<Candidate> &candidates);
 
     std::mt19937_64 random_;
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -1,6 +1,7 @@
 #include "relay/relayagent.h"
 
 #include "relay/flowretention.h"
+#include "relay/handon.h"
 #include "relay/relayflow.h"
 
 #include <algorithm>
@@ -93,12 +94,12 @@
     if (GroupId(forward.group()) != group_) {
         ++counters_.returnedWrongGroup;
         if (!search) {
-            returnPacket(now, from, ReturnReason::WrongGroup, forward.packet());
+            returnPacket(now, HandOn::balancerOf(forward, from), ReturnReason::WrongGroup, forward.packet());
         }
         return;
     }
     if (forward.mode() == valueOf(ForwardMode::Open)) {
-        handleOpen(now, from, forward, *head);
+        handleOpen(now, HandOn::balancerOf(forward, from), forward, *head);
         return;
     }
     if (search) {
@@ -166,20 +167,19 @@
 }
 
 void RelayAgent::handleOpen(Timestamp now,
-                            const PeerAddress &from,
+                            const PeerAddress &balancer,
                             const wire::relay::Forward &forward,
                             const RelayPacket &head)
 {
     const AgentFlow *known = flows_.find(head.flow);
     if (known != nullptr && known->openingSequence == head.sequence) {
         // A retransmission of an accepted opening packet; the target answers it again.
-        deliver(now, from, forward.packet(), head, valueOf(ForwardMode::Open));
+        deliver(now, balancer, forward.packet(), head, valueOf(ForwardMode::Open));
         return;
     }
     const TargetState current = state(now);
     if (current != TargetState::Ready && current != TargetState::Ejected) {
-        ++counters_.returnedNotReady;
-        returnPacket(now, from, ReturnReason::NotReady, forward.packet());
+        decline(now, balancer, forward, ReturnReason::NotReady, counters_.returnedNotReady);
         return;
     }
     const std::uint32_t opening = flows_.expectedRequests(now);
@@ -188,9 +188,8 @@
     // Balancers offer flows to an ejected target only if too many others are ejected as well.
     const bool trialTaken = flows_.outliers().isOnTrial(now) && requests > 0;
     const bool queueFull = requests >= flows_.meter().slots() + QueueLimit;
-    if (trialTaken || queueFull || wait > Milliseconds(forward.accepted_wait_ms())) {
-        ++counters_.returnedBusy;
-        returnPacket(now, from, ReturnReason::Busy, forward.packet());
+    if (trialTaken || queueFull || wait > HandOn::acceptedWait(forward)) {
+        decline(now, balancer, forward, ReturnReason::Busy, counters_.returnedBusy);
         return;
     }
     if (known != nullptr && known->openingSequence) {
@@ -199,7 +198,24 @@
     }
     flows_.expectRequest(now, head.flow);
     target_.noteOpeningPacketSent(now);
-    deliver(now, from, forward.packet(), head, valueOf(ForwardMode::Open));
+    deliver(now, balancer, forward.packet(), head, valueOf(ForwardMode::Open));
+}
+
+void RelayAgent::decline(Timestamp now,
+                         const PeerAddress &balancer,
+                         const wire::relay::Forward &forward,
+                         ReturnReason reason,
+                         std::uint64_t &returned)
+{
+    wire::relay::Message message;
+    *message.mutable_forward() = forward;
+    if (const std::optional<PeerAddress> next = HandOn::takeNext(*message.mutable_forward(), balancer)) {
+        ++counters_.handedOn;
+        output_.sendToPeer(*next, message);
+        return;
+    }
+    ++returned;
+    returnPacket(now, balancer, reason, forward.packet());
 }
 
 void RelayAgent::deliver(
--- a/src/relay/relayagent.h
+++ b/src/relay/relayagent.h
@@ -88,8 +88,16 @@
 
 private:
     void handleForward(Timestamp now, const PeerAddress &from, const wire::relay::Forward &forward);
-    void
-    handleOpen(Timestamp now, const PeerAddress &from, const wire::relay::Forward &forward, const RelayPacket &head);
+    void handleOpen(Timestamp now,
+                    const PeerAddress &balancer,
+                    const wire::relay::Forward &forward,
+                    const RelayPacket &head);
+    /** Hands the opening packet of a flow without room on to the next candidate; the last one returns it. */
+    void decline(Timestamp now,
+                 const PeerAddress &balancer,
+                 const wire::relay::Forward &forward,
+                 ReturnReason reason,
+                 std::uint64_t &returned);
     /** Creates a record for a flow of which the target's next answer shows whether the target holds it. */
     void probe(Timestamp now, const FlowTuple &tuple);
     void handleFlowQuery(Timestamp now, const PeerAddress &from, const wire::relay::FlowQuery &query);
--- a/src/relay/relayagentcounters.h
+++ b/src/relay/relayagentcounters.h
@@ -11,6 +11,7 @@
     std::uint64_t packetsOut = 0; ///< Packets from the target to callers.
     std::uint64_t malformed = 0;
     std::uint64_t flowsOpened = 0;
+    std::uint64_t handedOn = 0; ///< Opening packets sent to the next candidate.
     std::uint64_t returnedBusy = 0;
     std::uint64_t returnedFull = 0;
     std::uint64_t returnedNotReady = 0;
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -248,6 +248,14 @@
     BalancerFlow &flow = context_.flows.touch(now, fromRelayFlow(answer.flow()));
     if (opened) {
         ++context_.counters.flowsOpened;
+        if (flow.offered && flow.owner != agent) {
+            ++context_.counters.flowsHandedOn;
+            context_.output.logDecision("flowHandedOn",
+                                        {{"flow", formatFlowTuple(flow.tuple)},
+                                         {"from", formatPeerAddress(flow.owner)},
+                                         {"to", formatPeerAddress(agent)},
+                                         {"candidates", std::to_string(flow.candidates.size())}});
+        }
         openTimes_.add(now - flow.firstSeen);
     }
     const KnownTarget *target = context_.targets.find(agent);
@@ -267,6 +275,7 @@
     flow.group = target == nullptr ? GroupId() : target->group;
     flow.offered = false;
     flow.history = OfferHistory();
+    flow.candidates = {};
     flow.openingPacket = std::string();
 }
 
--- a/src/relay/relaybalancercontext.cpp
+++ b/src/relay/relaybalancercontext.cpp
@@ -1,5 +1,6 @@
 #include "relay/relaybalancercontext.h"
 
+#include "relay/handon.h"
 #include "relay/reportinterval.h"
 
 #include <algorithm>
@@ -32,8 +33,12 @@
 {
 }
 
-void RelayBalancerContext::forward(
-    const PeerAddress &agent, GroupId group, ForwardMode mode, Milliseconds wait, std::string_view packet)
+void RelayBalancerContext::forward(const PeerAddress &agent,
+                                   GroupId group,
+                                   ForwardMode mode,
+                                   Milliseconds wait,
+                                   std::string_view packet,
+                                   const std::vector<PeerAddress> &candidates)
 {
     wire::relay::Message message;
     wire::relay::Forward *forward = message.mutable_forward();
@@ -41,6 +46,7 @@
     forward->set_mode(static_cast<std::uint32_t>(mode));
     forward->set_accepted_wait_ms(static_cast<std::uint32_t>(wait.count()));
     forward->set_packet(packet.data(), packet.size());
+    HandOn::setCandidates(*forward, candidates);
     output.sendToPeer(agent, message);
 }
 
--- a/src/relay/relaybalancercontext.h
+++ b/src/relay/relaybalancercontext.h
@@ -39,6 +39,7 @@
     std::uint64_t offersReturned = 0;
     std::uint64_t offersUnanswered = 0;
     std::uint64_t flowsOpened = 0;
+    std::uint64_t flowsHandedOn = 0; ///< The opened flows that another agent than that of the offer accepted.
     std::uint64_t portsReused = 0;
     std::uint64_t refusedUnknownService = 0;
     std::uint64_t refusedNoTarget = 0;
@@ -60,8 +61,16 @@
                          const PacketFormat &packetFormat,
                          RelayOutput &relayOutput);
 
-    /** Sends a caller's packet to an agent. `wait` is the maximum time that a new flow may wait there for a slot. */
-    void forward(const PeerAddress &agent, GroupId group, ForwardMode mode, Milliseconds wait, std::string_view packet);
+    /**
+     * Sends a caller's packet to an agent. `wait` is the maximum time that a new flow may wait there for a slot, and
+     * `candidates` are the agents to which its packet is handed on.
+     */
+    void forward(const PeerAddress &agent,
+                 GroupId group,
+                 ForwardMode mode,
+                 Milliseconds wait,
+                 std::string_view packet,
+                 const std::vector<PeerAddress> &candidates = {});
 
     /** Returns the owner of a flow, or a null pointer if it is unknown or its address has gone to another group. */
     const KnownTarget *ownerOf(const BalancerFlow &flow) const;
--- a/src/tests/flowplacementtest.cpp
+++ b/src/tests/flowplacementtest.cpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <variant>
 
 using namespace rhubarblane;
@@ -97,6 +98,50 @@
     BOOST_TEST(!refusal(targets, {}));
 }
 
+// Guards against a target that is taken for idle when its load is outdated, while other balancers keep it busy.
+BOOST_AUTO_TEST_CASE(placementWithOutdatedLoadExpectsMeasuredUtilization)
+{
+    std::vector<KnownTarget> targets {target(1, 0, 10.0)};
+    targets[0].utilization = 0.75;
+    now = now + Milliseconds(500);
+    const std::variant<Offer, Refusal> next = placement.next(now, pointers(targets), {}, wait);
+    const Offer *offer = std::get_if<Offer>(&next);
+    BOOST_REQUIRE(offer != nullptr);
+    BOOST_TEST(offer->estimate.requests == 3u);
+}
+
+// Guards against the same target as the last choice of all balancers at once: its queue was full while others idled.
+BOOST_AUTO_TEST_CASE(placementWithFullTargetsSpreadsLastOffers)
+{
+    std::vector<KnownTarget> targets;
+    for (std::uint32_t host = 1; host <= 20; ++host) {
+        targets.push_back(target(host, 5, 20.0 + host / 10.0));
+        targets.back().utilization = 0.9;
+    }
+    const std::map<std::uint32_t, int> counts = firstOffers(targets, 1000);
+    BOOST_TEST(counts.size() == 20u);
+    for (const auto &[host, count] : counts) {
+        BOOST_TEST(count <= 150);
+    }
+}
+
+// Guards against a packet that is handed on to an agent that has it already, or that is draining.
+BOOST_AUTO_TEST_CASE(placementNamesOtherUsableTargetsAsCandidates)
+{
+    std::vector<KnownTarget> targets {
+        target(1, 0, 20.0), target(2, 0, 20.0), target(3, 0, 20.0), target(4, 0, 20.0), target(5, 0, 20.0)};
+    targets[4].state = TargetState::Draining;
+    for (int i = 0; i < 100; ++i) {
+        const std::variant<Offer, Refusal> next = placement.next(now, pointers(targets), {}, wait);
+        const Offer *offer = std::get_if<Offer>(&next);
+        BOOST_REQUIRE(offer != nullptr);
+        BOOST_REQUIRE(offer->candidates.size() == 2u);
+        const std::set<PeerAddress> all {offer->agent, offer->candidates[0], offer->candidates[1]};
+        BOOST_TEST(all.size() == 3u);
+        BOOST_TEST(all.count(targets[4].agent.address) == 0u);
+    }
+}
+
 // Guards against new flows at targets without a free slot while others have one.
 BOOST_AUTO_TEST_CASE(placementWithFreeSlotsOffersOnlyThose)
 {
--- a/src/tests/relaybalancertest.cpp
+++ b/src/tests/relaybalancertest.cpp
@@ -300,12 +300,25 @@
     BOOST_TEST(balancer.table()->services.size() == 1u);
 }
 
-// Guards against a flow that is moved to another target while it is opening.
+// Guards against a flow that is moved to another target while it is opening: any candidate of its offer may hold it.
 BOOST_AUTO_TEST_CASE(balancerWithRepeatedOpeningPacketKeepsTarget)
 {
     discoverAll();
     balancer.onCallerPacket(now, caller.opening());
     balancer.onCallerPacket(now, caller.opening());
+    BOOST_REQUIRE(forwarded().size() == 1u);
+    answer(forwarded()[0] == first.address ? first : second, caller, FlowPresence::Opened);
+    balancer.onCallerPacket(now, caller.opening());
+    BOOST_REQUIRE(forwarded().size() == 2u);
+    BOOST_TEST((forwarded()[0] == forwarded()[1]));
+}
+
+// Guards against a flow that is moved to another target while it is opening at the only one.
+BOOST_AUTO_TEST_CASE(balancerWithRepeatedOpeningPacketForOnlyTargetSendsItAgain)
+{
+    report(first, 1);
+    balancer.onCallerPacket(now, caller.opening());
+    balancer.onCallerPacket(now, caller.opening());
     BOOST_REQUIRE(forwarded().size() == 2u);
     BOOST_TEST((forwarded()[0] == forwarded()[1]));
 }
