--- a/src/bench/evenloadsimulation.cpp
+++ b/src/bench/evenloadsimulation.cpp
@@ -49,6 +49,8 @@
 struct SimulatedFlow {
     std::int64_t arrivalUs = 0;
     double workMs = 0.0;
+    /** Sends further requests, each some time after the last answer. */
+    bool isLong = false;
     OfferHistory history;
 };
 using FlowPointer = std::shared_ptr<SimulatedFlow>;
@@ -71,6 +73,8 @@
     RequestMeter meter;
     std::uint64_t sequence = 0;
     int generation = 0;
+    std::int64_t readyAt = 0;
+    std::uint32_t longFlows = 0;
     std::vector<std::pair<FlowPointer, std::int64_t>> expected;
     std::deque<std::pair<FlowPointer, std::int64_t>> queue;
     std::uint32_t running = 0;
@@ -105,7 +109,7 @@
         }
         queue_.after(300 * UsPerMs, [this] { arrive(); });
         queue_.after(WarmUpUs, [this] { closeWindow(); });
-        if (options_.restart) {
+        if (options_.longFlowsPerTarget > 0) {
             queue_.after(options_.spanMs * UsPerMs / 2, [this] { restart(); });
         }
         queue_.runUntil(options_.spanMs * UsPerMs);
@@ -113,6 +117,15 @@
         result_.waitP99 = percentile(waits_, 0.99);
         result_.imbalanceP99 = percentile(shares_, 0.99);
         result_.queueP99 = percentile(queues_, 0.99);
+        if (options_.longFlowsPerTarget > 0) {
+            std::vector<double> shares;
+            for (const auto &target : targets_) {
+                const double speedShare = options_.slots * target->speed / options_.meanServiceMs / capacity_;
+                shares.push_back(target->longFlows / (speedShare * options_.longFlowsPerTarget * options_.targets));
+            }
+            result_.mostLongFlows = *std::max_element(shares.begin(), shares.end());
+            result_.fewestLongFlows = *std::min_element(shares.begin(), shares.end());
+        }
         return result_;
     }
 
@@ -156,6 +169,11 @@
         queue_.after(delay(from, to), std::move(action));
     }
 
+    bool isReady(const SimulatedTarget &target) const
+    {
+        return queue_.now() >= target.readyAt;
+    }
+
     wire::relay::Load load(SimulatedTarget &target)
     {
         wire::relay::Load load;
@@ -163,13 +181,14 @@
         load.set_slots(target.meter.slots());
         load.set_busy(target.meter.busy());
         load.set_opening(static_cast<std::uint32_t>(target.expected.size()));
+        load.set_open_flows(target.longFlows);
         load.set_service_time_us(static_cast<std::uint32_t>(target.meter.serviceTimeMs() * 1000));
         load.set_utilization(static_cast<std::uint32_t>(target.meter.utilization(now()) * 1000));
-        load.set_state(static_cast<std::uint32_t>(TargetState::Ready));
+        load.set_state(static_cast<std::uint32_t>(isReady(target) ? TargetState::Ready : TargetState::Unknown));
         return load;
     }
 
-    void report(SimulatedTarget &target, bool sameZone)
+    void report(SimulatedTarget &target, bool sameZone, bool repeat = true)
     {
         const std::int64_t spread = options_.balancers * 1000 / ReportsPerSecond;
         std::int64_t interval =
@@ -192,20 +211,31 @@
                 });
             }
         }
-        queue_.after(interval * UsPerMs, [this, &target, sameZone] { this->report(target, sameZone); });
+        if (repeat) {
+            queue_.after(interval * UsPerMs, [this, &target, sameZone] { this->report(target, sameZone); });
+        }
     }
 
-    void arrive()
+    double drawWorkMs()
     {
-        auto flow = std::make_shared<SimulatedFlow>();
-        flow->arrivalUs = queue_.now();
         const double mean = options_.meanServiceMs / (1.0 + TailShare * (TailFactor - 1.0));
-        flow->workMs = mean * std::uniform_real_distribution<double>(0.6, 1.4)(random_)
+        return mean * std::uniform_real_distribution<double>(0.6, 1.4)(random_)
             * (std::bernoulli_distribution(TailShare)(random_) ? TailFactor : 1.0);
+    }
+
+    void openFlow(bool isLong)
+    {
+        auto flow = std::make_shared<SimulatedFlow>();
+        flow->arrivalUs = queue_.now();
+        flow->workMs = drawWorkMs();
+        flow->isLong = isLong;
+        result_.flows += queue_.now() >= WarmUpUs ? 1 : 0;
         offer(*balancers_[uniform(0, options_.balancers - 1)], flow);
-        if (queue_.now() >= WarmUpUs) {
-            ++result_.flows;
-        }
+    }
+
+    void arrive()
+    {
+        openFlow(false);
         const double rate = capacity_ * options_.load / UsPerMs;
         queue_.after(std::llround(std::exponential_distribution<double>(rate)(random_)), [this] { arrive(); });
     }
@@ -243,8 +273,9 @@
         }
         const auto opening = static_cast<std::uint32_t>(target.expected.size());
         const bool full = target.meter.busy() + opening >= options_.slots + QueueLimit;
-        if (!full && target.meter.expectedWait(opening) <= HandOn::acceptedWait(forward)) {
+        if (isReady(target) && !full && target.meter.expectedWait(opening) <= HandOn::acceptedWait(forward)) {
             target.expected.emplace_back(flow, queue_.now());
+            target.longFlows += flow->isLong ? 1 : 0;
             wire::relay::FlowAnswer answer;
             answer.mutable_flow()->set_caller_address(0x0c000001);
             answer.mutable_flow()->set_caller_port(40000);
@@ -306,18 +337,33 @@
                 waits_.push_back(1.0 * (queue_.now() - flow->arrivalUs - RequestDelayUs) / UsPerMs);
             }
             const std::int64_t span = std::llround(flow->workMs / target.speed * UsPerMs);
-            queue_.after(span, [this, &target, inSlot, requested = requested, span, g = target.generation] {
+            queue_.after(span, [this, &target, flow = flow, inSlot, requested = requested, span, g = target.generation] {
                 if (g != target.generation) {
                     return;
                 }
                 --target.running;
                 target.busyUs += static_cast<double>(span);
                 target.meter.finish(now(), Timestamp(requested / UsPerMs), inSlot);
+                if (flow->isLong) {
+                    repeatRequest(target, flow);
+                }
                 serve(target);
             });
         }
     }
 
+    void repeatRequest(SimulatedTarget &target, const FlowPointer &flow)
+    {
+        const double rate = capacity_ * options_.longFlowLoad
+            / (1.0 * options_.longFlowsPerTarget * options_.targets * UsPerMs);
+        queue_.after(std::llround(std::exponential_distribution<double>(rate)(random_)),
+                     [this, &target, flow, g = target.generation] {
+                         flow->arrivalUs = queue_.now() - RequestDelayUs;
+                         flow->workMs = drawWorkMs();
+                         request(target, flow, g);
+                     });
+    }
+
     void restart()
     {
         for (auto &target : targets_) {
@@ -326,6 +372,15 @@
             target->queue.clear();
             target->expected.clear();
             target->meter.clear(now());
+            target->readyAt = queue_.now() + uniform(0, 1000 * UsPerMs);
+            queue_.after(target->readyAt - queue_.now(), [this, t = target.get()] { report(*t, true, false); });
+            queue_.after(target->readyAt - queue_.now(), [this, t = target.get()] { report(*t, false, false); });
+        }
+        for (auto &balancer : balancers_) {
+            balancer->targets = TargetDirectory(balancer->self.availabilityZone);
+        }
+        for (int i = 0; i < options_.longFlowsPerTarget * options_.targets; ++i) {
+            queue_.after(uniform(0, 2000 * UsPerMs), [this] { openFlow(true); });
         }
     }
 
--- a/src/bench/evenloadsimulation.h
+++ b/src/bench/evenloadsimulation.h
@@ -19,8 +19,13 @@
     std::uint32_t acceptedWaitMs = 90;
     /** Maximum number of agents to which an opening packet is handed on; 0 for none. */
     std::size_t candidates = 0;
-    /** All targets restart in the middle of the run. */
-    bool restart = false;
+    /**
+     * All processes restart in the middle of the run, the targets within a second, and callers open this number of long
+     * flows for each target within two seconds; 0 for no restart.
+     */
+    int longFlowsPerTarget = 0;
+    /** Work of the requests on all long flows as a share of the capacity. */
+    double longFlowLoad = 0.3;
     std::int64_t spanMs = 60000;
     std::uint64_t seed = 1;
 };
@@ -39,6 +44,9 @@
     double imbalanceP99 = 0.0;
     /** 99th percentile of the requests at a target at the start of a request, beyond its slots. */
     double queueP99 = 0.0;
+    /** Most and fewest long flows at a target, divided by the share that its speed implies. */
+    double mostLongFlows = 0.0;
+    double fewestLongFlows = 0.0;
 };
 
 /**
--- a/src/tests/handontest.cpp
+++ b/src/tests/handontest.cpp
@@ -280,6 +280,21 @@
     BOOST_TEST(lastForward().first.port != 0);
 }
 
+// Guards against a refusal after two unanswered offers, when agents wait for their CPU share after a power failure.
+BOOST_AUTO_TEST_CASE(balancerWithUnansweredOffersMakesFourBeforeItRefuses)
+{
+    std::size_t offers = 1;
+    for (int i = 0; i < 12; ++i) {
+        reportAll();
+        advance(20);
+    }
+    for (const auto &[peer, message] : output.toPeers) {
+        offers += message.has_forward() ? 1 : 0;
+    }
+    BOOST_TEST(offers == 4u);
+    BOOST_TEST(output.toCallers.size() == 1u);
+}
+
 // Guards against the exclusion of a sound target because a candidate behind it has failed.
 BOOST_AUTO_TEST_CASE(balancerWithSilentCandidateKeepsFirstAgent)
 {
