--- a/src/relay/flowopener.cpp
+++ b/src/relay/flowopener.cpp
@@ -19,8 +19,8 @@
 // Limit on the new flows that wait until a target is known; callers retransmit the packets of further ones. With one
 // packet each, the flows take 1 MB.
 constexpr std::size_t MaximumQueuedFlows = 4096;
-// Offers of one flow, if cold targets return the last ones. Each takes a round trip between availability zones.
-constexpr std::size_t MaximumOffers = 8;
+// Offers of one flow, if cold targets return the last ones. Each reaches up to three agents.
+constexpr std::size_t MaximumOffersToCold = 4;
 // Share of a service's latency objective that a request may wait for a slot, in percent; the rest is for processing and
 // the network. A longer queue delays all requests without increasing the throughput.
 constexpr std::int64_t AcceptedWaitPercent = 45;
@@ -64,6 +64,11 @@
     BalancerFlow &flow = context_.flows.touch(now, head.flow);
     const KnownTarget *owner = context_.ownerOf(flow);
     if (owner != nullptr && !owner->offerUnanswered && service.hasGroup(flow.group)) {
+        if (flow.offered && !flow.candidates.empty()) {
+            // Any of the candidates may hold the flow by now; a copy sent to another one would open it twice. If the
+            // offer is lost, its timeout sends the packet again.
+            return;
+        }
         // A retransmitted opening packet; the target answers it again.
         context_.forward(flow.owner, flow.group, ForwardMode::Open, acceptedWait(service), packet);
         return;
@@ -98,16 +103,17 @@
     }
     const Offer &offer = std::get<Offer>(next);
     ++context_.counters.offers;
-    flow.history.tried.push_back(offer.agent);
-    flow.history.lastOfferMade = offer.last;
+    flow.history.noteOffer(offer);
     flow.owner = offer.agent;
+    flow.candidates = offer.candidates;
     flow.group = group.id;
     flow.offered = true;
     flow.offeredAt = now;
     flow.estimate = offer.estimate;
     offers_.emplace_back(flow.tuple, now);
     context_.targets.noteOffer(offer.agent);
-    context_.forward(offer.agent, group.id, ForwardMode::Open, offer.acceptedWait, flow.openingPacket);
+    context_.forward(
+        offer.agent, group.id, ForwardMode::Open, offer.acceptedWait, flow.openingPacket, offer.candidates);
     return Placement::Offered;
 }
 
@@ -157,6 +163,7 @@
     flow.owner = PeerAddress();
     flow.offered = false;
     flow.history = OfferHistory();
+    flow.candidates = {};
     if (!std::exchange(flow.queued, true)) {
         queuedFlows_.push_back(flow.tuple);
     }
@@ -186,8 +193,8 @@
 {
     ++context_.counters.offersReturned;
     BalancerFlow *flow = context_.flows.find(tuple);
-    if (flow != nullptr && flow->owner == agent && flow->offered) {
-        if (reason == ReturnReason::Cold && flow->history.tried.size() < MaximumOffers) {
+    if (flow != nullptr && flow->offered && flow->isOfferedTo(agent)) {
+        if (reason == ReturnReason::Cold && flow->history.offers < MaximumOffersToCold) {
             // The limit of a cold target tells nothing about the queues of the others.
             flow->history.lastOfferMade = false;
         }
@@ -195,6 +202,16 @@
     }
 }
 
+void FlowOpener::noteUnansweredOffer(const BalancerFlow &flow)
+{
+    const KnownTarget *first = context_.targets.find(flow.owner);
+    // If the first agent is heard, a candidate or a message between them was lost.
+    const bool heard = first != nullptr && !flow.candidates.empty() && flow.offeredAt < first->lastContact;
+    if (!heard) {
+        context_.targets.noteUnansweredOffer(flow.owner);
+    }
+}
+
 void FlowOpener::onTick(Timestamp now, Timestamp messagesRead)
 {
     while (!offers_.empty() && messagesRead - offers_.front().second >= OfferTimeout) {
@@ -203,7 +220,8 @@
         BalancerFlow *flow = context_.flows.find(tuple);
         if (flow != nullptr && flow->offered && flow->offeredAt == offeredAt) {
             ++context_.counters.offersUnanswered;
-            context_.targets.noteUnansweredOffer(flow->owner);
+            noteUnansweredOffer(*flow);
+            flow->history.noteUnanswered();
             offerNext(now, *flow, "unanswered");
         }
     }
