--- a/src/relay/flowopener.cpp
+++ b/src/relay/flowopener.cpp
@@ -202,7 +202,6 @@
         if (flow != nullptr && flow->offered && flow->offeredAt == offeredAt) {
             ++context_.counters.offersUnanswered;
             noteUnansweredOffer(*flow);
-            flow->history.noteUnanswered();
             offerNext(now, *flow, "unanswered");
         }
     }
--- a/src/relay/flowplacement.cpp
+++ b/src/relay/flowplacement.cpp
@@ -16,9 +16,6 @@
 // Agents to which the packet of an offer is handed on if the first one has no room. A third one costs more messages
 // and bytes than it saves; see docs/decisions.md.
 constexpr std::size_t OfferCandidates = 2;
-// Offers of a flow, if some stay without an answer; with the timeout of an offer they end before the caller has sent
-// its opening packet again.
-constexpr std::size_t MaximumOffers = 4;
 // Used until a target of the group has measured a request; the mean service time of the reference workloads.
 constexpr double DefaultServiceTimeMs = 20.0;
 // Round-trip time between availability zones of the reference deployments.
@@ -105,12 +102,6 @@
     tried.push_back(offer.agent);
     tried.insert(tried.end(), offer.candidates.begin(), offer.candidates.end());
     lastOfferMade = offer.last;
-    ++offers;
-}
-
-void OfferHistory::noteUnanswered()
-{
-    lastOfferMade = lastOfferMade && offers >= MaximumOffers;
 }
 
 FlowPlacement::FlowPlacement(std::uint64_t seed)
--- a/src/relay/flowplacement.h
+++ b/src/relay/flowplacement.h
@@ -44,13 +44,9 @@
 struct OfferHistory {
     void noteOffer(const Offer &offer);
 
-    /** Notes that nobody answered the last offer: another one may follow, also after the last one. */
-    void noteUnanswered();
-
     /** The agents that got the offers, and those to which these were possibly handed on. */
     std::vector<PeerAddress> tried;
     bool lastOfferMade = false;
-    std::size_t offers = 0;
 };
 
 /**
