--- a/src/node/nodereport.cpp
+++ b/src/node/nodereport.cpp
@@ -105,6 +105,24 @@
     CounterRow<RelayAgentCounters> {"target_reports_unconfirmed_total",
                                     "Status reports that may be late ones of an earlier start",
                                     &RelayAgentCounters::reportsUnconfirmed},
+    CounterRow<RelayAgentCounters> {"requests_held_total",
+                                    "Requests of less urgent services that had to wait at the agent",
+                                    &RelayAgentCounters::requestsHeld},
+    CounterRow<RelayAgentCounters> {
+        "held_requests_started_total", "Held requests that began in turn", &RelayAgentCounters::heldStarted},
+    CounterRow<RelayAgentCounters> {
+        "held_requests_passed_on_total", "Held requests passed on out of turn", &RelayAgentCounters::heldPassedOn},
+    CounterRow<RelayAgentCounters> {"held_requests_expired_total",
+                                    "Held requests dropped after their maximum time",
+                                    &RelayAgentCounters::heldExpired},
+    CounterRow<RelayAgentCounters> {"held_requests_overflowed_total",
+                                    "Requests dropped beyond the limit of held ones",
+                                    &RelayAgentCounters::heldOverflowed},
+    CounterRow<RelayAgentCounters> {
+        "held_requests_abandoned_total", "Held requests that their caller gave up", &RelayAgentCounters::heldAbandoned},
+    CounterRow<RelayAgentCounters> {"urgent_requests_ahead_total",
+                                    "Urgent requests that began while less urgent ones were held",
+                                    &RelayAgentCounters::urgentStartsAhead},
 };
 
 template<typename Rows, typename Counters>
@@ -152,6 +170,11 @@
     MetricsText text;
     addCounters(text, AgentRows, core.counters());
     text.gauge("requests", "Requests at the target", core.meter().busy());
+    text.gauge("held_requests", "Requests that wait at the agent", static_cast<double>(core.gate().size()));
+    text.gauge("held_bytes", "Bytes of their packets", static_cast<double>(core.gate().bytes()));
+    text.gauge("held_longest_ms",
+               "Longest time for which a request was held",
+               static_cast<double>(core.counters().heldLongestMs));
     text.gauge("slots", "Requests that the target serves at once", core.meter().slots());
     text.gauge("utilization", "Share of the slots in use", core.meter().utilization(now));
     text.gauge("flows", "Flows with a record", static_cast<double>(core.openFlows()));
@@ -189,6 +212,7 @@
     value dump = value::object();
     dump["state"] = value::string(nameOf(core.state(now)));
     dump["busy"] = number(core.meter().busy());
+    dump["held"] = number(static_cast<double>(core.gate().size()));
     dump["slots"] = number(core.meter().slots());
     dump["utilization"] = number(core.meter().utilization(now));
     dump["serviceTimeMs"] = number(core.meter().serviceTimeMs());
--- a/src/relay/flowopener.cpp
+++ b/src/relay/flowopener.cpp
@@ -89,8 +89,11 @@
         return refuse(now, flow, Refusal::NoTarget, lastReturn);
     }
     const WeightedGroup &group = service->groupOf(flow.tuple);
-    const std::variant<Offer, Refusal> next =
-        placement_.next(now, context_.targets.ofGroup(group.id), flow.history, acceptedWait(*service));
+    const std::variant<Offer, Refusal> next = placement_.next(now,
+                                                              context_.targets.ofGroup(group.id),
+                                                              flow.history,
+                                                              acceptedWait(*service),
+                                                              context_.table->isMostUrgent(*service));
     if (const Refusal *refusal = std::get_if<Refusal>(&next)) {
         return refuse(now, flow, *refusal, lastReturn);
     }
--- a/src/relay/flowplacement.cpp
+++ b/src/relay/flowplacement.cpp
@@ -10,6 +10,9 @@
 
 // Three offers to targets with a free slot result in the least imbalance; see docs/decisions.md.
 constexpr std::size_t OffersWithFreeSlot = 3;
+// Offers of a most urgent flow. Loads do not tell how many of the requests are less urgent, so the agent decides, and a
+// target that is full of urgent requests returns the offer within a round trip.
+constexpr std::size_t OffersOfMostUrgent = 5;
 // Used until a target of the group has measured a request; the mean service time of the reference workloads.
 constexpr double DefaultServiceTimeMs = 20.0;
 // Round-trip time between availability zones of the reference deployments.
@@ -120,7 +123,8 @@
 std::variant<Offer, Refusal> FlowPlacement::next(Timestamp now,
                                                  const std::vector<const KnownTarget *> &group,
                                                  const OfferHistory &history,
-                                                 Milliseconds acceptedWait)
+                                                 Milliseconds acceptedWait,
+                                                 bool mostUrgent)
 {
     const std::vector<const KnownTarget *> usable = withoutEjected(usableOf(now, group));
     if (usable.empty()) {
@@ -132,8 +136,10 @@
     const double mean = meanServiceTime(usable);
     std::vector<Candidate> withQueue;
     std::vector<Candidate> withFreeSlot;
+    std::vector<Candidate> all;
     for (const KnownTarget *target : usable) {
         const Candidate candidate(now, *target, mean);
+        all.push_back(candidate);
         if (candidate.requests < target->slots && !contains(history.tried, target->agent.address)) {
             withFreeSlot.push_back(candidate);
         }
@@ -144,6 +150,12 @@
     if (!withFreeSlot.empty() && history.tried.size() < OffersWithFreeSlot) {
         return chooseFree(withFreeSlot).offer(now, Milliseconds(0), false);
     }
+    if (mostUrgent) {
+        const std::optional<Candidate> busy = chooseBusy(all, history);
+        return busy ? std::variant<Offer, Refusal>(
+                   busy->offer(now, acceptedWait, history.tried.size() + 1 >= OffersOfMostUrgent))
+                    : Refusal::Overload;
+    }
     if (withQueue.empty()) {
         return Refusal::Overload;
     }
@@ -154,6 +166,23 @@
     return best.offer(now, acceptedWait, true);
 }
 
+std::optional<FlowPlacement::Candidate> FlowPlacement::chooseBusy(const std::vector<Candidate> &candidates,
+                                                                  const OfferHistory &history)
+{
+    std::vector<Candidate> untried;
+    std::copy_if(
+        candidates.begin(), candidates.end(), std::back_inserter(untried), [&history](const Candidate &candidate) {
+            return !contains(history.tried, candidate.target->agent.address);
+        });
+    if (untried.empty()) {
+        return std::nullopt;
+    }
+    std::uniform_int_distribution<std::size_t> draw(0, untried.size() - 1);
+    const Candidate &first = untried[draw(random_)];
+    const Candidate &second = untried[draw(random_)];
+    return second.expectedTime() < first.expectedTime() ? second : first;
+}
+
 FlowPlacement::Candidate FlowPlacement::chooseFree(const std::vector<Candidate> &candidates)
 {
     double utilization = 0.0;
--- a/src/relay/flowplacement.h
+++ b/src/relay/flowplacement.h
@@ -6,6 +6,7 @@
 #include "wire/peeraddress.h"
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 #include <variant>
@@ -53,11 +54,16 @@
 public:
     explicit FlowPlacement(std::uint64_t seed);
 
-    /** Returns the next offer; only the last one of a flow carries `acceptedWait`. */
+    /**
+     * Returns the next offer; only offers to targets without a free slot carry `acceptedWait`. A flow that is
+     * `mostUrgent` goes ahead of requests of other services that the targets report, so it is offered to busy targets
+     * as well.
+     */
     std::variant<Offer, Refusal> next(Timestamp now,
                                       const std::vector<const KnownTarget *> &group,
                                       const OfferHistory &history,
-                                      Milliseconds acceptedWait);
+                                      Milliseconds acceptedWait,
+                                      bool mostUrgent = false);
 
 private:
     /** A target with its current load estimate. */
@@ -75,6 +81,8 @@
         std::uint32_t requests;
     };
 
+    /** Returns the faster of two drawn targets, so that balancers with equal knowledge do not choose the same one. */
+    std::optional<Candidate> chooseBusy(const std::vector<Candidate> &candidates, const OfferHistory &history);
     Candidate chooseFree(const std::vector<Candidate> &candidates);
     const Candidate &drawByFreeCapacity(const std::vector<Candidate> &candidates);
 
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -115,7 +115,9 @@
     if (flow == nullptr) {
         probe(now, head->flow);
     }
-    deliver(now, from, forward.packet(), *head, forward.mode());
+    if (!holdPacket(now, from, forward, *head)) {
+        deliver(now, from, forward.packet(), *head, forward.mode());
+    }
 }
 
 void RelayAgent::probe(Timestamp now, const FlowTuple &tuple)
@@ -139,7 +141,9 @@
     } else if (presence == FlowPresence::Held) {
         answerFlow(now, from, head.flow, presence);
     }
-    deliver(now, from, forward.packet(), head, valueOf(ForwardMode::Search));
+    if (!holdPacket(now, from, forward, head)) {
+        deliver(now, from, forward.packet(), head, valueOf(ForwardMode::Search));
+    }
 }
 
 void RelayAgent::handleFlowQuery(Timestamp now, const PeerAddress &from, const wire::relay::FlowQuery &query)
@@ -182,7 +186,10 @@
         returnPacket(now, from, ReturnReason::NotReady, forward.packet());
         return;
     }
-    const std::uint32_t opening = flows_.expectedRequests(now);
+    // Less urgent requests that are held or on the way begin after those of an urgent flow.
+    const std::uint32_t opening = forward.less_urgent()
+        ? flows_.expectedRequests(now) + static_cast<std::uint32_t>(gate_.size())
+        : flows_.expectedUrgentRequests(now);
     const Milliseconds wait = flows_.meter().expectedWait(opening);
     const std::uint32_t requests = flows_.meter().busy() + opening;
     // Balancers offer flows to an ejected target only if too many others are ejected as well.
@@ -195,8 +202,10 @@
     }
     if (known != nullptr && known->openingSequence) {
         // The caller uses the port of an earlier flow again.
+        dropHeldOf(now, head.flow, "portReused");
         flows_.discard(now, head.flow);
     }
+    flows_.touch(now, head.flow).lessUrgent = forward.less_urgent();
     flows_.expectRequest(now, head.flow);
     target_.noteOpeningPacketSent(now);
     deliver(now, from, forward.packet(), head, valueOf(ForwardMode::Open));
@@ -214,7 +223,12 @@
             flow.openingSequence = head.sequence;
         }
         if (!flow.probed) {
+            const bool pending = flow.requestPending;
             flows_.noteCallerPacket(now, flow, head);
+            if (!pending && flow.requestPending && !flow.lessUrgent && gate_.size() > 0) {
+                ++counters_.urgentStartsAhead;
+                gate_.noteUrgentStart();
+            }
         }
     }
     format_.setTag(packet, tagFor(from, mode));
@@ -237,6 +251,7 @@
     } else {
         handleAnswer(now, std::string(packet), *head);
     }
+    startHeld(now);
 }
 
 void RelayAgent::handleReturned(Timestamp now, std::string packet, const RelayPacket &head)
@@ -247,6 +262,7 @@
     const bool ended = flow != nullptr && flow->closed();
     if (flow != nullptr && !ended) {
         flows_.discard(now, head.flow);
+        passHeldOf(now, head.flow, "notHeld");
     }
     if (ended || head.reset) {
         return;
@@ -304,6 +320,9 @@
                              {"ejectionMs", std::to_string(flows_.outliers().timeLeft(now).count())}});
         peers_.requestReport(now);
     }
+    if (head.closing || head.reset) {
+        passHeldOf(now, head.flow, "targetClosed");
+    }
     output_.sendToCaller(head.flow.callerAddress, std::move(packet));
 }
 
@@ -369,6 +388,7 @@
         // A target that reported before this agent started still holds the flows whose packets it has sent.
         const bool keepsFlows = target_.startCount() == 1 && report.sequence > FirstReportSequence;
         flows_.handleTargetRestart(now, keepsFlows);
+        passAllHeld(now, "targetStarted");
     }
     if (change != TargetStatus::Change::None) {
         output_.logDecision("targetState",
@@ -408,6 +428,7 @@
         reportedState_ = current;
         peers_.requestReport(now);
     }
+    serveHeld(now);
     if (peers_.isReportDue(now)) {
         peers_.sendReport(now, makeReport(now));
     }
@@ -431,7 +452,7 @@
 {
     load.set_sequence(++loadSequence_);
     load.set_slots(flows_.meter().slots());
-    load.set_busy(flows_.meter().busy());
+    load.set_busy(flows_.meter().busy() + static_cast<std::uint32_t>(gate_.size()));
     load.set_opening(flows_.expectedRequests(now));
     load.set_open_flows(static_cast<std::uint32_t>(flows_.size()));
     load.set_service_time_us(static_cast<std::uint32_t>(flows_.meter().serviceTimeMs() * 1000.0));
@@ -468,6 +489,7 @@
         leaving_ = now;
         peers_.requestReport(now);
         output_.logDecision("agentLeaving", {{"busy", std::to_string(flows_.meter().busy())}});
+        passAllHeld(now, "agentLeaving");
     }
 }
 
--- a/src/relay/relayagent.h
+++ b/src/relay/relayagent.h
@@ -6,6 +6,7 @@
 #include "relay/packetformat.h"
 #include "relay/relayagentcounters.h"
 #include "relay/relayoutput.h"
+#include "relay/requestgate.h"
 #include "relay/targetflows.h"
 #include "relay/targetstatus.h"
 
@@ -85,11 +86,30 @@
     {
         return peers_.directory();
     }
+    const RequestGate &gate() const
+    {
+        return gate_;
+    }
 
 private:
     void handleForward(Timestamp now, const PeerAddress &from, const wire::relay::Forward &forward);
     void
     handleOpen(Timestamp now, const PeerAddress &from, const wire::relay::Forward &forward, const RelayPacket &head);
+    /** Returns true if a less urgent request must wait for its turn; the packet is kept or dropped. */
+    bool
+    holdPacket(Timestamp now, const PeerAddress &from, const wire::relay::Forward &forward, const RelayPacket &head);
+    TargetRoom room(Timestamp now);
+    /** Lets held requests begin for which the target has room. */
+    void startHeld(Timestamp now);
+    /** Passes held requests on out of turn: of one flow, or all. */
+    void passHeldOf(Timestamp now, const FlowTuple &tuple, std::string_view reason);
+    void passAllHeld(Timestamp now, std::string_view reason);
+    void passHeld(Timestamp now, const HeldRequest &held);
+    /** Drops the held request of a flow that its caller no longer uses. */
+    void dropHeldOf(Timestamp now, const FlowTuple &tuple, std::string_view reason);
+    void dropHeld(Timestamp now, const std::vector<HeldRequest> &dropped, std::string_view reason);
+    /** Drops held requests whose time is over, and lets others begin. */
+    void serveHeld(Timestamp now);
     /** Creates a record for a flow of which the target's next answer shows whether the target holds it. */
     void probe(Timestamp now, const FlowTuple &tuple);
     void handleFlowQuery(Timestamp now, const PeerAddress &from, const wire::relay::FlowQuery &query);
@@ -123,6 +143,7 @@
     TargetStatus target_;
     RelayAgentCounters counters_;
     TargetFlows flows_;
+    RequestGate gate_;
     GroupId group_;
     Timestamp nextSweep_;
     std::uint64_t loadSequence_ = 0;
--- a/src/relay/relayagentcounters.h
+++ b/src/relay/relayagentcounters.h
@@ -26,6 +26,14 @@
     std::uint64_t flowsUnconfirmed = 0;
     std::uint64_t reportsOutdated = 0;
     std::uint64_t reportsUnconfirmed = 0;
+    std::uint64_t requestsHeld = 0; ///< Requests of less urgent services that had to wait at the agent.
+    std::uint64_t heldStarted = 0; ///< Held requests that began in their turn.
+    std::uint64_t heldPassedOn = 0; ///< Held requests passed on out of turn, for example since the flow closed.
+    std::uint64_t heldExpired = 0; ///< Held requests dropped after their maximum time.
+    std::uint64_t heldOverflowed = 0; ///< Requests dropped beyond the limit of held requests.
+    std::uint64_t heldAbandoned = 0; ///< Held requests that their caller gave up.
+    std::uint64_t urgentStartsAhead = 0; ///< Urgent requests that began while less urgent ones were held.
+    std::uint64_t heldLongestMs = 0; ///< The longest time for which a request was held.
 };
 
 } // namespace rhubarblane
--- a/src/relay/relaybalancercontext.cpp
+++ b/src/relay/relaybalancercontext.cpp
@@ -13,6 +13,15 @@
 
 // An agent that sends no message for this long has ended or its VM is unreachable; most callers have given up before.
 constexpr Milliseconds AgentTimeout(5000);
+// Share of a service's latency objective for which an agent may hold the beginning of a request, in percent; the rest
+// is for processing and the network. A request that waits longer is answered late, and delays the next ones.
+constexpr std::int64_t HoldPercent = 45;
+
+Milliseconds holdTimeOf(const RelayedService &service)
+{
+    const Milliseconds limit = service.objective > Milliseconds(0) ? service.objective : service.timeout;
+    return Milliseconds(limit.count() * HoldPercent / 100);
+}
 
 } // namespace
 
@@ -41,6 +50,14 @@
     forward->set_mode(static_cast<std::uint32_t>(mode));
     forward->set_accepted_wait_ms(static_cast<std::uint32_t>(wait.count()));
     forward->set_packet(packet.data(), packet.size());
+    if (table && table->hasSharedGroups) {
+        const std::optional<RelayPacket> head = format.decode(packet, PacketOrigin::Caller);
+        const RelayedService *service = head ? table->find(head->flow) : nullptr;
+        if (service != nullptr && table->isLessUrgent(*service)) {
+            forward->set_less_urgent(true);
+            forward->set_hold_ms(static_cast<std::uint32_t>(holdTimeOf(*service).count()));
+        }
+    }
     output.sendToPeer(agent, message);
 }
 
--- a/src/relay/servicetable.cpp
+++ b/src/relay/servicetable.cpp
@@ -90,12 +90,18 @@
 void ServiceTable::indexPriorities()
 {
     highestPriorities.clear();
+    lowestPriorities.clear();
     for (const auto &[address, service] : services) {
         for (const WeightedGroup &group : service.groups) {
             const auto [position, inserted] = highestPriorities.try_emplace(group.id, service.priority);
             position->second = std::min(position->second, service.priority);
+            std::uint32_t &lowest = lowestPriorities.try_emplace(group.id, service.priority).first->second;
+            lowest = std::max(lowest, service.priority);
         }
     }
+    hasSharedGroups = std::any_of(highestPriorities.begin(), highestPriorities.end(), [this](const auto &highest) {
+        return lowestPriorities.at(highest.first) > highest.second;
+    });
 }
 
 bool ServiceTable::isLessUrgent(const RelayedService &service) const
@@ -106,6 +112,15 @@
     });
 }
 
+bool ServiceTable::isMostUrgent(const RelayedService &service) const
+{
+    const bool shared = std::any_of(service.groups.begin(), service.groups.end(), [&](const WeightedGroup &group) {
+        const auto found = lowestPriorities.find(group.id);
+        return found != lowestPriorities.end() && found->second > service.priority;
+    });
+    return shared && !isLessUrgent(service);
+}
+
 bool RelayedService::hasGroup(GroupId group) const
 {
     return std::any_of(groups.begin(), groups.end(), [group](const WeightedGroup &own) { return own.id == group; });
--- a/src/relay/servicetable.h
+++ b/src/relay/servicetable.h
@@ -48,6 +48,9 @@
     std::map<PeerAddress, RelayedService> services;
     /** The most urgent priority among the services of each group; see indexPriorities(). */
     std::map<GroupId, std::uint32_t> highestPriorities;
+    /** The least urgent priority among the services of each group; see indexPriorities(). */
+    std::map<GroupId, std::uint32_t> lowestPriorities;
+    bool hasSharedGroups = false; ///< Services of different urgency share a group; see indexPriorities().
 
     const RelayedService *find(const FlowTuple &flow) const;
 
@@ -56,6 +59,9 @@
 
     /** Returns true if a group of the service also serves a more urgent service. */
     bool isLessUrgent(const RelayedService &service) const;
+
+    /** Returns true if a group of the service also serves a less urgent one, and no group a more urgent one. */
+    bool isMostUrgent(const RelayedService &service) const;
 };
 
 /** Splits a table into parts that fit into one datagram each. */
--- a/src/relay/targetflows.cpp
+++ b/src/relay/targetflows.cpp
@@ -109,6 +109,23 @@
     return static_cast<std::uint32_t>(expectedRequests_.size());
 }
 
+std::uint32_t TargetFlows::expectedUrgentRequests(Timestamp now)
+{
+    expectedRequests(now);
+    return static_cast<std::uint32_t>(
+        std::count_if(expectedRequests_.begin(), expectedRequests_.end(), [this](const auto &entry) {
+            const AgentFlow *flow = flows_.find(entry.first);
+            return flow != nullptr && !flow->lessUrgent;
+        }));
+}
+
+bool TargetFlows::beginsRequest(const AgentFlow &flow, const RelayPacket &head)
+{
+    const bool held = flow.open && !flow.probed && !flow.unconfirmed && !flow.targetClosed;
+    const bool repeated = flow.sentRequest && !isNewer(head.sequence + head.payloadBytes, flow.callerSequence);
+    return held && !flow.requestPending && head.payloadBytes > 0 && !repeated;
+}
+
 void TargetFlows::sweep(Timestamp now)
 {
     flows_.expire(now, FlowRetention, [this, now](AgentFlow &flow) { endRequest(now, flow, RequestEnd::Abandoned); });
--- a/src/relay/targetflows.h
+++ b/src/relay/targetflows.h
@@ -60,6 +60,12 @@
     /** Returns the number of new flows whose first request is still expected. */
     std::uint32_t expectedRequests(Timestamp now);
 
+    /** Returns how many of the expected requests are not those of less urgent services. */
+    std::uint32_t expectedUrgentRequests(Timestamp now);
+
+    /** Returns true if a caller's packet begins a request on an open flow. */
+    static bool beginsRequest(const AgentFlow &flow, const RelayPacket &head);
+
     /** Removes ended flows and requests. Must be called about once a second. */
     void sweep(Timestamp now);
 
--- a/src/tests/flowplacementtest.cpp
+++ b/src/tests/flowplacementtest.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <variant>
@@ -81,6 +82,29 @@
     BOOST_TEST((refusal(targets, {}) == Refusal::Overload));
 }
 
+// Guards against urgent flows that are refused for the less urgent requests which the targets report, and against
+// balancers that all choose the same target.
+BOOST_AUTO_TEST_CASE(placementOfMostUrgentFlowOffersItToDifferentBusyTargets)
+{
+    const std::vector<KnownTarget> targets {target(1, 4 + QueueLimit, 10.0),
+                                            target(2, 40, 10.0),
+                                            target(3, 40, 10.0),
+                                            target(4, 40, 10.0),
+                                            target(5, 40, 10.0),
+                                            target(6, 40, 10.0)};
+    OfferHistory history;
+    while (!history.lastOfferMade) {
+        const std::variant<Offer, Refusal> next = placement.next(now, pointers(targets), history, wait, true);
+        const Offer *offer = std::get_if<Offer>(&next);
+        BOOST_REQUIRE(offer != nullptr);
+        BOOST_TEST((offer->acceptedWait == wait));
+        BOOST_TEST(std::count(history.tried.begin(), history.tried.end(), offer->agent) == 0);
+        history.tried.push_back(offer->agent);
+        history.lastOfferMade = offer->last;
+    }
+    BOOST_TEST(history.tried.size() == 5u);
+}
+
 // Guards against a balancer that assumes full queues until the next report: in a burst of three times the usual traffic
 // it refused flows for up to 250 ms although the targets had free slots again.
 BOOST_AUTO_TEST_CASE(placementWithOutdatedFullQueuesOffersAgain)
