--- a/src/relay/flowopener.cpp
+++ b/src/relay/flowopener.cpp
@@ -93,7 +93,7 @@
                                                               context_.targets.ofGroup(group.id),
                                                               flow.history,
                                                               acceptedWait(*service),
-                                                              context_.table->isMostUrgent(*service));
+                                                              context_.table->isMoreUrgent(*service));
     if (const Refusal *refusal = std::get_if<Refusal>(&next)) {
         return refuse(now, flow, *refusal, lastReturn);
     }
--- a/src/relay/flowplacement.cpp
+++ b/src/relay/flowplacement.cpp
@@ -10,9 +10,9 @@
 
 // Three offers to targets with a free slot result in the least imbalance; see docs/decisions.md.
 constexpr std::size_t OffersWithFreeSlot = 3;
-// Offers of a most urgent flow. Loads do not tell how many of the requests are less urgent, so the agent decides, and a
+// Offers of a more urgent flow. Loads do not tell how many of the requests are less urgent, so the agent decides, and a
 // target that is full of urgent requests returns the offer within a round trip.
-constexpr std::size_t OffersOfMostUrgent = 5;
+constexpr std::size_t OffersOfMoreUrgent = 5;
 // Used until a target of the group has measured a request; the mean service time of the reference workloads.
 constexpr double DefaultServiceTimeMs = 20.0;
 // Round-trip time between availability zones of the reference deployments.
@@ -124,7 +124,7 @@
                                                  const std::vector<const KnownTarget *> &group,
                                                  const OfferHistory &history,
                                                  Milliseconds acceptedWait,
-                                                 bool mostUrgent)
+                                                 bool moreUrgent)
 {
     const std::vector<const KnownTarget *> usable = withoutEjected(usableOf(now, group));
     if (usable.empty()) {
@@ -150,10 +150,10 @@
     if (!withFreeSlot.empty() && history.tried.size() < OffersWithFreeSlot) {
         return chooseFree(withFreeSlot).offer(now, Milliseconds(0), false);
     }
-    if (mostUrgent) {
+    if (moreUrgent) {
         const std::optional<Candidate> busy = chooseBusy(all, history);
         return busy ? std::variant<Offer, Refusal>(
-                   busy->offer(now, acceptedWait, history.tried.size() + 1 >= OffersOfMostUrgent))
+                   busy->offer(now, acceptedWait, history.tried.size() + 1 >= OffersOfMoreUrgent))
                     : Refusal::Overload;
     }
     if (withQueue.empty()) {
--- a/src/relay/flowplacement.h
+++ b/src/relay/flowplacement.h
@@ -56,14 +56,14 @@
 
     /**
      * Returns the next offer; only offers to targets without a free slot carry `acceptedWait`. A flow that is
-     * `mostUrgent` goes ahead of requests of other services that the targets report, so it is offered to busy targets
+     * `moreUrgent` goes ahead of requests of other services that the targets report, so it is offered to busy targets
      * as well.
      */
     std::variant<Offer, Refusal> next(Timestamp now,
                                       const std::vector<const KnownTarget *> &group,
                                       const OfferHistory &history,
                                       Milliseconds acceptedWait,
-                                      bool mostUrgent = false);
+                                      bool moreUrgent = false);
 
 private:
     /** A target with its current load estimate. */
--- a/src/relay/servicetable.cpp
+++ b/src/relay/servicetable.cpp
@@ -107,16 +107,18 @@
 bool ServiceTable::isLessUrgent(const RelayedService &service) const
 {
     return std::any_of(service.groups.begin(), service.groups.end(), [&](const WeightedGroup &group) {
-        const auto found = highestPriorities.find(group.id);
-        return found != highestPriorities.end() && found->second < service.priority;
+        const auto highest = highestPriorities.find(group.id);
+        const auto lowest = lowestPriorities.find(group.id);
+        return highest != highestPriorities.end() && highest->second < service.priority
+            && lowest != lowestPriorities.end() && lowest->second == service.priority;
     });
 }
 
-bool ServiceTable::isMostUrgent(const RelayedService &service) const
+bool ServiceTable::isMoreUrgent(const RelayedService &service) const
 {
     const bool shared = std::any_of(service.groups.begin(), service.groups.end(), [&](const WeightedGroup &group) {
-        const auto found = lowestPriorities.find(group.id);
-        return found != lowestPriorities.end() && found->second > service.priority;
+        const auto lowest = lowestPriorities.find(group.id);
+        return lowest != lowestPriorities.end() && lowest->second > service.priority;
     });
     return shared && !isLessUrgent(service);
 }
--- a/src/relay/servicetable.h
+++ b/src/relay/servicetable.h
@@ -57,11 +57,14 @@
     /** Must be called when the services are complete. */
     void indexPriorities();
 
-    /** Returns true if a group of the service also serves a more urgent service. */
+    /**
+     * Returns true if the service is among the least urgent ones of a group that also serves a more urgent one.
+     * Services between the least and the most urgent priority are not less urgent: those above them may carry no load.
+     */
     bool isLessUrgent(const RelayedService &service) const;
 
-    /** Returns true if a group of the service also serves a less urgent one, and no group a more urgent one. */
-    bool isMostUrgent(const RelayedService &service) const;
+    /** Returns true if a group of the service also serves a less urgent one, and the service itself is not one. */
+    bool isMoreUrgent(const RelayedService &service) const;
 };
 
 /** Splits a table into parts that fit into one datagram each. */
--- a/src/tests/flowplacementtest.cpp
+++ b/src/tests/flowplacementtest.cpp
@@ -84,7 +84,7 @@
 
 // Guards against urgent flows that are refused for the less urgent requests which the targets report, and against
 // balancers that all choose the same target.
-BOOST_AUTO_TEST_CASE(placementOfMostUrgentFlowOffersItToDifferentBusyTargets)
+BOOST_AUTO_TEST_CASE(placementOfMoreUrgentFlowOffersItToDifferentBusyTargets)
 {
     const std::vector<KnownTarget> targets {target(1, 4 + QueueLimit, 10.0),
                                             target(2, 40, 10.0),
--- a/src/tests/servicetabletest.cpp
+++ b/src/tests/servicetabletest.cpp
@@ -101,4 +101,45 @@
     BOOST_TEST(result->version.value() == 8u);
 }
 
+// Guards against an urgent service that counts as less urgent because of another one above it: on lsgc-edge-grown, 42
+// services without load had the highest priority, and the urgent service shared the shorter waits of the least urgent.
+BOOST_AUTO_TEST_CASE(tableWithThreePrioritiesInGroupMakesOnlyLastOneLessUrgent)
+{
+    ServiceTable table;
+    std::vector<RelayedService> services;
+    for (std::uint32_t priority = 0; priority < 3; ++priority) {
+        RelayedService service;
+        service.address = {0xc6120001, static_cast<std::uint16_t>(priority + 1)};
+        service.priority = priority;
+        service.groups = {{"desk", groupIdOf("desk"), 1}};
+        table.services[service.address] = service;
+        services.push_back(service);
+    }
+    table.indexPriorities();
+    BOOST_TEST(table.hasSharedGroups);
+    BOOST_TEST(!table.isLessUrgent(services[0]));
+    BOOST_TEST(!table.isLessUrgent(services[1]));
+    BOOST_TEST(table.isLessUrgent(services[2]));
+    BOOST_TEST(table.isMoreUrgent(services[1]));
+    BOOST_TEST(!table.isMoreUrgent(services[2]));
+    table.services.erase(services[2].address);
+    table.indexPriorities();
+    BOOST_TEST(table.isLessUrgent(services[1]));
+}
+
+// Guards against urgency in groups that serve one priority only.
+BOOST_AUTO_TEST_CASE(tableWithOnePriorityInGroupHasNoUrgency)
+{
+    ServiceTable table;
+    RelayedService service;
+    service.address = {0xc6120001, 1};
+    service.priority = 2;
+    service.groups = {{"desk", groupIdOf("desk"), 1}};
+    table.services[service.address] = service;
+    table.indexPriorities();
+    BOOST_TEST(!table.hasSharedGroups);
+    BOOST_TEST(!table.isLessUrgent(service));
+    BOOST_TEST(!table.isMoreUrgent(service));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
