--- a/src/relay/targetflows.cpp
+++ b/src/relay/targetflows.cpp
@@ -37,8 +37,8 @@
         endRequest(now, flow, RequestEnd::Abandoned);
         return;
     }
-    if (head.payloadBytes == 0) {
-        return;
+    if (head.payloadBytes == 0 || flow.targetClosed) {
+        return; // A target that has closed the flow answers no further request.
     }
     const std::uint32_t end = head.sequence + head.payloadBytes;
     if (flow.sentRequest && !isNewer(end, flow.callerSequence)) {
@@ -135,6 +135,7 @@
             endRequest(now, flow, RequestEnd::Abandoned);
         }
         if (flow.closed() && now - flow.lastActive > ClosedRetention) {
+            endRequest(now, flow, RequestEnd::Abandoned);
             ended.push_back(flow.tuple);
         }
     });
--- a/src/tests/relayagenturgencytest.cpp
+++ b/src/tests/relayagenturgencytest.cpp
@@ -230,6 +230,28 @@
     BOOST_TEST(portsToTarget() == (Ports {40004}), boost::test_tools::per_element());
 }
 
+// Guards against requests that count as being at the target for ever: on lsgc-edge-grown, agents reported up to 29
+// requests at targets that hold ten, and refused all flows of the least urgent service.
+BOOST_AUTO_TEST_CASE(meterWithRequestOnClosedFlowCountsNone)
+{
+    agent.onTargetPacket(now, closing(fourth.answer(false, 0)));
+    forward(closing(fourth.data(1, 0)));
+    forward(fourth.data(1));
+    BOOST_TEST(agent.meter().busy() == 3u);
+}
+
+// Guards against requests that count as being at the target for ever, since both sides closed their flow while the
+// target had not answered.
+BOOST_AUTO_TEST_CASE(meterWithFlowClosedBeforeAnswerEndsItsRequest)
+{
+    PlainPacketFormat::Bytes reset = first.head();
+    reset.reset = true;
+    forward(PlainPacketFormat::encode(reset));
+    BOOST_TEST(agent.meter().busy() == 2u);
+    advance(12000);
+    BOOST_TEST(agent.meter().busy() == 0u);
+}
+
 // Guards against requests of callers that have given up.
 BOOST_AUTO_TEST_CASE(agentWithCallerGoneDropsHeldRequestAndPassesReset)
 {
