--- a/src/relay/relayagenturgency.cpp
+++ b/src/relay/relayagenturgency.cpp
@@ -53,8 +53,8 @@
                          {"expectedUrgent", std::to_string(current.expectedUrgent)},
                          {"held", std::to_string(gate_.size())},
                          {"holdMs", std::to_string(holdTime.count())}});
-    const std::vector<HeldRequest> overflow =
-        gate_.hold(now, head.flow, holdTime, {forward.packet(), from, forward.mode(), head.sequence});
+    const std::vector<HeldRequest> overflow = gate_.hold(
+        now, head.flow, holdTime, flow->requestDropped, {forward.packet(), from, forward.mode(), head.sequence});
     counters_.heldOverflowed += overflow.size();
     dropHeld(now, overflow, "limit");
     startHeld(now);
@@ -135,6 +135,9 @@
     }
     std::uint64_t longest = 0;
     for (const HeldRequest &held : dropped) {
+        if (AgentFlow *flow = flows_.find(held.flow)) {
+            flow->requestDropped = true;
+        }
         longest = std::max(longest, static_cast<std::uint64_t>((now - held.since).count()));
     }
     counters_.heldLongestMs = std::max(counters_.heldLongestMs, longest);
--- a/src/relay/requestgate.cpp
+++ b/src/relay/requestgate.cpp
@@ -17,6 +17,9 @@
 constexpr std::uint32_t LookAhead = 1;
 // While urgent requests take all the room, one less urgent request begins after this many of them.
 constexpr std::uint32_t UrgentStartsPerTurn = 7;
+// Requests that are sent again are answered late, and delay those that can still be in time. They begin after those,
+// but one after this many of them, so that no caller waits without end.
+constexpr std::uint32_t FreshTurnsPerRepeated = 7;
 // A target begins fewer requests than this in the longest time for which they are held; with the limit of bytes, the
 // held packets take 1 MB of the agent's VM.
 constexpr std::size_t MaximumHeldRequests = 64;
@@ -35,7 +38,7 @@
 }
 
 std::vector<HeldRequest>
-RequestGate::hold(Timestamp now, const FlowTuple &flow, Milliseconds holdTime, HeldPacket packet)
+RequestGate::hold(Timestamp now, const FlowTuple &flow, Milliseconds holdTime, bool repeated, HeldPacket packet)
 {
     std::vector<HeldRequest> dropped;
     std::uint64_t round = round_;
@@ -44,7 +47,7 @@
             round = std::max(round, held.round + 1);
         }
     }
-    HeldRequest request {flow, now, now + holdTime, round, {}};
+    HeldRequest request {flow, now, now + holdTime, round, repeated, {}};
     const bool fitting = fits(packet);
     request.packets.push_back(std::move(packet));
     if (!fitting) {
@@ -92,8 +95,14 @@
     if (!free && !turn) {
         return std::nullopt;
     }
-    const Position next = std::min_element(
-        held_.begin(), held_.end(), [](const HeldRequest &a, const HeldRequest &b) { return a.round < b.round; });
+    const bool anyRepeated =
+        std::any_of(held_.begin(), held_.end(), [](const HeldRequest &held) { return held.repeated; });
+    const bool repeatedFirst = anyRepeated && freshTurns_ >= FreshTurnsPerRepeated;
+    const Position next =
+        std::min_element(held_.begin(), held_.end(), [repeatedFirst](const HeldRequest &a, const HeldRequest &b) {
+            return a.repeated != b.repeated ? a.repeated == repeatedFirst : a.round < b.round;
+        });
+    freshTurns_ = anyRepeated && !next->repeated ? freshTurns_ + 1 : 0;
     round_ = next->round;
     urgentStarts_ = 0;
     return remove(next);
--- a/src/relay/requestgate.h
+++ b/src/relay/requestgate.h
@@ -36,6 +36,7 @@
     Timestamp since;
     Timestamp until; ///< The request is dropped if it has not begun by then; its caller sends it again.
     std::uint64_t round = 0; ///< See RequestGate::takeNext().
+    bool repeated = false; ///< The caller sends the request again after it was dropped, so it is late already.
     std::vector<HeldPacket> packets;
 };
 
@@ -54,7 +55,8 @@
      * Holds the first packet of a request. Beyond the limit of held requests, the newest request of the caller with the
      * most of them is dropped; it is returned, and may be the one that was to be held.
      */
-    std::vector<HeldRequest> hold(Timestamp now, const FlowTuple &flow, Milliseconds holdTime, HeldPacket packet);
+    std::vector<HeldRequest>
+    hold(Timestamp now, const FlowTuple &flow, Milliseconds holdTime, bool repeated, HeldPacket packet);
 
     /** Adds a packet to a held request. Returns false if it is dropped as a copy or beyond the limits. */
     bool append(const FlowTuple &flow, HeldPacket packet);
@@ -63,7 +65,7 @@
 
     /**
      * Returns the next request that may begin, or no value. Each caller has one request in each round, in the order of
-     * their arrival.
+     * their arrival. Repeated ones follow the others, but take at least each eighth turn.
      */
     std::optional<HeldRequest> takeNext(const TargetRoom &room);
 
@@ -101,6 +103,7 @@
     std::list<HeldRequest> held_; ///< In the order of arrival.
     std::size_t bytes_ = 0;
     std::uint64_t round_ = 0; ///< The round of the last request that began.
+    std::uint32_t freshTurns_ = 0; ///< Turns since a repeated request began, while one was held.
     std::uint32_t urgentStarts_ = 0; ///< Urgent requests that began since a less urgent one did, while one was held.
 };
 
