--- a/src/relay/requestgate.cpp
+++ b/src/relay/requestgate.cpp
@@ -43,7 +43,7 @@
     std::vector<HeldRequest> dropped;
     std::uint64_t round = round_;
     for (const HeldRequest &held : held_) {
-        if (held.flow.callerAddress == flow.callerAddress) {
+        if (held.flow.callerAddress == flow.callerAddress && held.repeated == repeated) {
             round = std::max(round, held.round + 1);
         }
     }
@@ -103,7 +103,7 @@
             return a.repeated != b.repeated ? a.repeated == repeatedFirst : a.round < b.round;
         });
     freshTurns_ = anyRepeated && !next->repeated ? freshTurns_ + 1 : 0;
-    round_ = next->round;
+    round_ = std::max(round_, next->round);
     urgentStarts_ = 0;
     return remove(next);
 }
