--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -188,7 +188,7 @@
     }
     // Less urgent requests that are held or on the way begin after those of an urgent flow.
     const std::uint32_t opening = forward.less_urgent()
-        ? flows_.expectedRequests(now) + static_cast<std::uint32_t>(gate_.size())
+        ? flows_.expectedRequests(now) + static_cast<std::uint32_t>(gate_.inTime())
         : flows_.expectedUrgentRequests(now);
     const Milliseconds wait = flows_.meter().expectedWait(opening);
     const std::uint32_t requests = flows_.meter().busy() + opening;
--- a/src/relay/relayagenturgency.cpp
+++ b/src/relay/relayagenturgency.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-// Callers send a packet again after 200 ms; a longer time than this only adds copies.
+// Bounds the memory of held packets for services without an objective; few callers wait longer for an answer.
 constexpr Milliseconds MaximumHoldTime(1000);
 
 } // namespace
--- a/src/relay/requestgate.cpp
+++ b/src/relay/requestgate.cpp
@@ -17,9 +17,8 @@
 constexpr std::uint32_t LookAhead = 1;
 // While urgent requests take all the room, one less urgent request begins after this many of them.
 constexpr std::uint32_t UrgentStartsPerTurn = 7;
-// Requests that are sent again are answered late, and delay those that can still be in time. They begin after those,
-// but one after this many of them, so that no caller waits without end.
-constexpr std::uint32_t FreshTurnsPerRepeated = 7;
+// Late requests delay those that can still be in time, so they begin after them, but one after this many of them.
+constexpr std::uint32_t FreshTurnsPerLate = 7;
 // A target begins fewer requests than this in the longest time for which they are held; with the limit of bytes, the
 // held packets take 1 MB of the agent's VM.
 constexpr std::size_t MaximumHeldRequests = 64;
@@ -38,16 +37,16 @@
 }
 
 std::vector<HeldRequest>
-RequestGate::hold(Timestamp now, const FlowTuple &flow, Milliseconds holdTime, bool repeated, HeldPacket packet)
+RequestGate::hold(Timestamp now, const FlowTuple &flow, Milliseconds holdTime, bool late, HeldPacket packet)
 {
     std::vector<HeldRequest> dropped;
     std::uint64_t round = round_;
     for (const HeldRequest &held : held_) {
-        if (held.flow.callerAddress == flow.callerAddress && held.repeated == repeated) {
+        if (held.flow.callerAddress == flow.callerAddress && held.isLate == late) {
             round = std::max(round, held.round + 1);
         }
     }
-    HeldRequest request {flow, now, now + holdTime, round, repeated, {}};
+    HeldRequest request {flow, now, now + holdTime, now + holdTime * 2, round, late, {}};
     const bool fitting = fits(packet);
     request.packets.push_back(std::move(packet));
     if (!fitting) {
@@ -95,14 +94,13 @@
     if (!free && !turn) {
         return std::nullopt;
     }
-    const bool anyRepeated =
-        std::any_of(held_.begin(), held_.end(), [](const HeldRequest &held) { return held.repeated; });
-    const bool repeatedFirst = anyRepeated && freshTurns_ >= FreshTurnsPerRepeated;
+    const bool anyLate = std::any_of(held_.begin(), held_.end(), [](const HeldRequest &held) { return held.isLate; });
+    const bool lateFirst = anyLate && freshTurns_ >= FreshTurnsPerLate;
     const Position next =
-        std::min_element(held_.begin(), held_.end(), [repeatedFirst](const HeldRequest &a, const HeldRequest &b) {
-            return a.repeated != b.repeated ? a.repeated == repeatedFirst : a.round < b.round;
+        std::min_element(held_.begin(), held_.end(), [lateFirst](const HeldRequest &a, const HeldRequest &b) {
+            return a.isLate != b.isLate ? a.isLate == lateFirst : a.round < b.round;
         });
-    freshTurns_ = anyRepeated && !next->repeated ? freshTurns_ + 1 : 0;
+    freshTurns_ = anyLate && !next->isLate ? freshTurns_ + 1 : 0;
     round_ = std::max(round_, next->round);
     urgentStarts_ = 0;
     return remove(next);
@@ -119,6 +117,7 @@
     std::vector<HeldRequest> expired;
     for (Position held = held_.begin(); held != held_.end();) {
         const Position next = std::next(held);
+        held->isLate = held->isLate || now >= held->late;
         if (now >= held->until) {
             expired.push_back(remove(held));
         }
@@ -149,6 +148,12 @@
         held_.begin(), held_.end(), [caller](const HeldRequest &held) { return held.flow.callerAddress == caller; }));
 }
 
+std::size_t RequestGate::inTime() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(held_.begin(), held_.end(), [](const HeldRequest &held) { return !held.isLate; }));
+}
+
 RequestGate::Position RequestGate::find(const FlowTuple &flow)
 {
     return std::find_if(held_.begin(), held_.end(), [&flow](const HeldRequest &held) { return held.flow == flow; });
--- a/src/relay/requestgate.h
+++ b/src/relay/requestgate.h
@@ -34,9 +34,10 @@
 struct HeldRequest {
     FlowTuple flow;
     Timestamp since;
+    Timestamp late; ///< From then on the request follows those that can still be in time.
     Timestamp until; ///< The request is dropped if it has not begun by then; its caller sends it again.
     std::uint64_t round = 0; ///< See RequestGate::takeNext().
-    bool repeated = false; ///< The caller sends the request again after it was dropped, so it is late already.
+    bool isLate = false; ///< Held for too long to be answered in time, now or before it was dropped.
     std::vector<HeldPacket> packets;
 };
 
@@ -52,11 +53,12 @@
     bool admits(const TargetRoom &room) const;
 
     /**
-     * Holds the first packet of a request. Beyond the limit of held requests, the newest request of the caller with the
-     * most of them is dropped; it is returned, and may be the one that was to be held.
+     * Holds the first packet of a request: it is late after `holdTime`, and dropped after twice this time. Beyond the
+     * limit of held requests, the newest request of the caller with the most of them is dropped; it is returned, and
+     * may be the one that was to be held.
      */
     std::vector<HeldRequest>
-    hold(Timestamp now, const FlowTuple &flow, Milliseconds holdTime, bool repeated, HeldPacket packet);
+    hold(Timestamp now, const FlowTuple &flow, Milliseconds holdTime, bool late, HeldPacket packet);
 
     /** Adds a packet to a held request. Returns false if it is dropped as a copy or beyond the limits. */
     bool append(const FlowTuple &flow, HeldPacket packet);
@@ -65,14 +67,14 @@
 
     /**
      * Returns the next request that may begin, or no value. Each caller has one request in each round, in the order of
-     * their arrival. Repeated ones follow the others, but take at least each eighth turn.
+     * their arrival. Late ones follow the others, but take at least each eighth turn.
      */
     std::optional<HeldRequest> takeNext(const TargetRoom &room);
 
     /** Returns the held request of a flow, which is no longer held. */
     std::optional<HeldRequest> take(const FlowTuple &flow);
 
-    /** Returns the requests that have been held for their maximum time. */
+    /** Returns the requests that have been held for their maximum time, and marks those that have become late. */
     std::vector<HeldRequest> takeExpired(Timestamp now);
 
     /** Returns all held requests in the order of their arrival. */
@@ -85,6 +87,8 @@
     {
         return held_.size();
     }
+    /** Returns the number of held requests that are not late. */
+    std::size_t inTime() const;
     std::size_t bytes() const
     {
         return bytes_;
@@ -103,7 +107,7 @@
     std::list<HeldRequest> held_; ///< In the order of arrival.
     std::size_t bytes_ = 0;
     std::uint64_t round_ = 0; ///< The round of the last request that began.
-    std::uint32_t freshTurns_ = 0; ///< Turns since a repeated request began, while one was held.
+    std::uint32_t freshTurns_ = 0; ///< Turns since a late request began, while one was held.
     std::uint32_t urgentStarts_ = 0; ///< Urgent requests that began since a less urgent one did, while one was held.
 };
 
