--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -452,7 +452,7 @@
 {
     load.set_sequence(++loadSequence_);
     load.set_slots(flows_.meter().slots());
-    load.set_busy(flows_.meter().busy() + static_cast<std::uint32_t>(gate_.size()));
+    load.set_busy(flows_.meter().busy() + static_cast<std::uint32_t>(gate_.inTime()));
     load.set_opening(flows_.expectedRequests(now));
     load.set_open_flows(static_cast<std::uint32_t>(flows_.size()));
     load.set_service_time_us(static_cast<std::uint32_t>(flows_.meter().serviceTimeMs() * 1000.0));
