--- a/src/relay/relayagenturgency.cpp
+++ b/src/relay/relayagenturgency.cpp
@@ -52,6 +52,8 @@
                          {"slots", std::to_string(current.slots)},
                          {"expectedUrgent", std::to_string(current.expectedUrgent)},
                          {"held", std::to_string(gate_.size())},
+                         {"late", flow->requestDropped ? "true" : "false"},
+                         {"callerClosed", flow->callerClosed ? "true" : "false"},
                          {"holdMs", std::to_string(holdTime.count())}});
     const std::vector<HeldRequest> overflow = gate_.hold(
         now, head.flow, holdTime, flow->requestDropped, {forward.packet(), from, forward.mode(), head.sequence});
--- a/src/relay/requestgate.cpp
+++ b/src/relay/requestgate.cpp
@@ -14,7 +14,7 @@
 
 // Requests that wait at the target, so that a slot is not idle while the agent learns that it is free. An urgent
 // request waits for at most these and the requests in the slots.
-constexpr std::uint32_t LookAhead = 0;
+constexpr std::uint32_t LookAhead = 1;
 // While urgent requests take all the room, one less urgent request begins after this many of them.
 constexpr std::uint32_t UrgentStartsPerTurn = 7;
 // Late requests delay those that can still be in time, so they begin after them, but one after this many of them.
