--- a/src/relay/agentflow.h
+++ b/src/relay/agentflow.h
@@ -21,7 +21,7 @@
     /** The target has started again, and has not yet shown whether the flow belongs to the new start. */
     bool unconfirmed = false;
     bool lessUrgent = false; ///< The target also serves a more urgent service than the flow's.
-    std::uint32_t requestDrops = 0; ///< How often the beginning of the next request was held and dropped.
+    bool requestDropped = false; ///< The last beginning of a request was held and dropped.
     bool sentRequest = false;
     bool requestPending = false;
     bool requestInSlot = false; ///< A slot was free when the pending request started.
--- a/src/relay/relayagenturgency.cpp
+++ b/src/relay/relayagenturgency.cpp
@@ -52,10 +52,10 @@
                          {"slots", std::to_string(current.slots)},
                          {"expectedUrgent", std::to_string(current.expectedUrgent)},
                          {"held", std::to_string(gate_.size())},
-                         {"drops", std::to_string(flow->requestDrops)},
+                         {"late", flow->requestDropped ? "true" : "false"},
                          {"holdMs", std::to_string(holdTime.count())}});
     const std::vector<HeldRequest> overflow = gate_.hold(
-        now, head.flow, holdTime, flow->requestDrops, {forward.packet(), from, forward.mode(), head.sequence});
+        now, head.flow, holdTime, flow->requestDropped, {forward.packet(), from, forward.mode(), head.sequence});
     counters_.heldOverflowed += overflow.size();
     dropHeld(now, overflow, "limit");
     startHeld(now);
@@ -137,7 +137,7 @@
     std::uint64_t longest = 0;
     for (const HeldRequest &held : dropped) {
         if (AgentFlow *flow = flows_.find(held.flow)) {
-            ++flow->requestDrops;
+            flow->requestDropped = true;
         }
         longest = std::max(longest, static_cast<std::uint64_t>((now - held.since).count()));
     }
--- a/src/relay/requestgate.cpp
+++ b/src/relay/requestgate.cpp
@@ -37,17 +37,16 @@
 }
 
 std::vector<HeldRequest>
-RequestGate::hold(Timestamp now, const FlowTuple &flow, Milliseconds holdTime, std::uint32_t drops, HeldPacket packet)
+RequestGate::hold(Timestamp now, const FlowTuple &flow, Milliseconds holdTime, bool late, HeldPacket packet)
 {
     std::vector<HeldRequest> dropped;
-    const bool late = drops > 0;
     std::uint64_t round = round_;
     for (const HeldRequest &held : held_) {
         if (held.flow.callerAddress == flow.callerAddress && held.isLate == late) {
             round = std::max(round, held.round + 1);
         }
     }
-    HeldRequest request {flow, now, now + holdTime, now + holdTime * 2, round, drops, late, {}};
+    HeldRequest request {flow, now, now + holdTime, now + holdTime * 2, round, late, {}};
     const bool fitting = fits(packet);
     request.packets.push_back(std::move(packet));
     if (!fitting) {
@@ -99,10 +98,7 @@
     const bool lateFirst = anyLate && freshTurns_ >= FreshTurnsPerLate;
     const Position next =
         std::min_element(held_.begin(), held_.end(), [lateFirst](const HeldRequest &a, const HeldRequest &b) {
-            if (a.isLate != b.isLate) {
-                return a.isLate == lateFirst;
-            }
-            return a.drops != b.drops ? a.drops < b.drops : a.round < b.round;
+            return a.isLate != b.isLate ? a.isLate == lateFirst : a.round < b.round;
         });
     freshTurns_ = anyLate && !next->isLate ? freshTurns_ + 1 : 0;
     round_ = std::max(round_, next->round);
--- a/src/relay/requestgate.h
+++ b/src/relay/requestgate.h
@@ -37,7 +37,6 @@
     Timestamp late; ///< From then on the request follows those that can still be in time.
     Timestamp until; ///< The request is dropped if it has not begun by then; its caller sends it again.
     std::uint64_t round = 0; ///< See RequestGate::takeNext().
-    std::uint32_t drops = 0; ///< How often the request was held and dropped before.
     bool isLate = false; ///< Held for too long to be answered in time, now or before it was dropped.
     std::vector<HeldPacket> packets;
 };
@@ -59,7 +58,7 @@
      * may be the one that was to be held.
      */
     std::vector<HeldRequest>
-    hold(Timestamp now, const FlowTuple &flow, Milliseconds holdTime, std::uint32_t drops, HeldPacket packet);
+    hold(Timestamp now, const FlowTuple &flow, Milliseconds holdTime, bool late, HeldPacket packet);
 
     /** Adds a packet to a held request. Returns false if it is dropped as a copy or beyond the limits. */
     bool append(const FlowTuple &flow, HeldPacket packet);
@@ -68,8 +67,7 @@
 
     /**
      * Returns the next request that may begin, or no value. Each caller has one request in each round, in the order of
-     * their arrival. Late ones follow the others, but take at least each eighth turn;
-     * those dropped less often are first, because the callers of the others may have given up.
+     * their arrival. Late ones follow the others, but take at least each eighth turn.
      */
     std::optional<HeldRequest> takeNext(const TargetRoom &room);
 
--- a/src/relay/targetflows.cpp
+++ b/src/relay/targetflows.cpp
@@ -48,7 +48,7 @@
     flow.sentRequest = true;
     if (!flow.requestPending) {
         flow.requestPending = true;
-        flow.requestDrops = 0;
+        flow.requestDropped = false;
         flow.requestInSlot = meter_.start(now);
     }
     // The processing of a request starts when its last byte has arrived.
