--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -163,19 +163,19 @@
             ++context_.counters.malformed;
         }
     }
+    bool evacuationsCovered = !context_.settings.evacuations;
     if (hello.has_evacuations()) {
         if (const std::optional<EvacuatedZones> evacuations = evacuationsFromWire(hello.evacuations())) {
             onEvacuations(now, *evacuations, sender.name);
+            evacuationsCovered = true;
         } else {
             ++context_.counters.malformed;
         }
     }
     const TableVersion peerVersion(hello.table_version());
     const TableVersion ownVersion = context_.table ? context_.table->version : TableVersion();
-    // The check also covers the evacuations; the own ones are not older than those of the message.
-    const bool checkCoversState =
-        peerVersion <= ownVersion && (!context_.settings.evacuations || hello.has_evacuations());
-    if (hello.table_check() != 0 && checkCoversState) {
+    // A check vouches for the own state only if that is not older than the state of the peer that made the check.
+    if (hello.table_check() != 0 && peerVersion <= ownVersion && evacuationsCovered) {
         const Timestamp begun = now + Milliseconds(-static_cast<std::int64_t>(hello.table_check_age_ms()));
         context_.freshness.noteCheckOfPeer({hello.table_check(), begun});
     }
--- a/src/tests/zoneevacuationtest.cpp
+++ b/src/tests/zoneevacuationtest.cpp
@@ -181,4 +181,31 @@
     BOOST_TEST(!balancer.tableCheckAge(simulation.now()).has_value());
 }
 
+// Guards against agents that learn of their zone's evacuation only by a periodic message, and against a burst of
+// messages to a large fleet that saturates the balancer's link.
+BOOST_AUTO_TEST_CASE(balancerNotifiesAgentsOfZoneAtOnceUpToLimit)
+{
+    constexpr std::uint32_t AgentsPerZone = 150;
+    PlainPacketFormat format;
+    RecordedOutput output;
+    RelayBalancer balancer(
+        {relayPeer("balancer-9", PeerRole::Balancer, 9), {}, 1000, 1}, Timestamp(1000), format, output);
+    std::vector<Peer> peers {relayPeer("last", PeerRole::Agent, 99, "c")};
+    for (std::uint32_t i = 0; i < AgentsPerZone; ++i) {
+        peers.push_back(relayPeer("a" + std::to_string(i), PeerRole::Agent, 1000 + i, "a"));
+        peers.push_back(relayPeer("b" + std::to_string(i), PeerRole::Agent, 2000 + i, "b"));
+    }
+    balancer.onStorePeers(Timestamp(1000), peers);
+    output.clear();
+    balancer.onEvacuations(Timestamp(1010), {Revision(11), {"c"}}, "store");
+    BOOST_REQUIRE(output.toPeers.size() == 1u);
+    BOOST_TEST((output.toPeers.front().first == peers.front().address));
+    output.clear();
+    balancer.onEvacuations(Timestamp(1020), {Revision(12), {"a", "c"}}, "store");
+    BOOST_TEST(output.toPeers.size() == 100u);
+    for (const auto &[to, message] : output.toPeers) {
+        BOOST_TEST(to.address < relayPeer("", PeerRole::Agent, 2000).address.address);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
