--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -152,7 +152,7 @@
     const bool answered = repeated && known->open && !known->unconfirmed;
     if (repeated && !answered && !coldStart_.mayOpen(now, forward.cold_limit())) {
         ++counters_.returnedCold;
-        returnPacket(now, from, ReturnReason::Cold, forward.packet());
+        returnPacket(now, balancer, ReturnReason::Cold, forward.packet());
         return;
     }
     if (repeated) {
