Probe targets beside restarted agents once for each packet of a caller

Cause: restarted agents cannot tell which flows their targets hold. A search asked each of them again every 60 ms until all had answered, and first with a query that they can only answer with Uncertain. Queries and answers delayed the answers further.

Change: an agent that does not track all flows of its target gets the packet itself, and again only when the caller repeats its packet.

--- a/src/relay/flowfinder.cpp
+++ b/src/relay/flowfinder.cpp
@@ -19,6 +19,9 @@
 constexpr std::uint32_t MaximumCallerBytes = 1U << 24;
 // A round trip between availability zones takes 3 ms; the rest allows for agents that wait for their CPU share.
 constexpr Milliseconds AnswerTimeout(60);
+// A target answers its agent within some milliseconds. After a restart of all agents beside running targets each search
+// has a probe for each agent, so probes are repeated only when the caller sends its packet again.
+constexpr Milliseconds ProbeTimeout(180);
 // Longer than a round of list requests with a repetition. Callers retransmit a packet after at most 1.6 s.
 constexpr Milliseconds SearchPeriod(1000);
 
@@ -52,11 +55,11 @@
         search->denied.insert(except);
         index_.erase(except, flowHashOf(head.flow));
     }
-    evaluate(now, service, head.flow);
+    evaluate(now, service, head.flow, true);
     sendListRequests(now);
 }
 
-void FlowFinder::evaluate(Timestamp now, const RelayedService &service, const FlowTuple &tuple)
+void FlowFinder::evaluate(Timestamp now, const RelayedService &service, const FlowTuple &tuple, bool packetArrived)
 {
     FlowSearch &search = *searches_.find(tuple);
     search.nextEvaluation = now + AnswerTimeout;
@@ -75,8 +78,10 @@
                 continue;
             }
             denied = false;
-            if (knowledge != FlowIndex::Knowledge::Unknown) {
+            if (knowledge == FlowIndex::Knowledge::Listed) {
                 ask(now, search, agent, group.id);
+            } else if (knowledge == FlowIndex::Knowledge::Untracked) {
+                probe(now, search, agent, group.id, packetArrived);
             }
             if (index_.completeAsOf(agent) < search.started) {
                 index_.request(agent, group.id, search.started);
@@ -106,6 +111,23 @@
     context_.output.sendToPeer(agent, message);
 }
 
+void FlowFinder::probe(Timestamp now, FlowSearch &search, const PeerAddress &agent, GroupId group, bool packetArrived)
+{
+    const auto asked = search.asked.find(agent);
+    const bool repeat = asked == search.asked.end() || (packetArrived && now - asked->second >= ProbeTimeout);
+    if (!repeat) {
+        return;
+    }
+    if (index_.sendsNoLists(agent)) {
+        search.asked.erase(agent);
+        ask(now, search, agent, group);
+        return;
+    }
+    search.asked[agent] = now;
+    ++context_.counters.flowQueries;
+    context_.forward(agent, group, ForwardMode::Search, Milliseconds(0), search.packets.front());
+}
+
 void FlowFinder::conclude(Timestamp now, const RelayedService &service, FlowSearch &search)
 {
     const bool certain = mayProveLoss(now, service);
@@ -173,7 +195,7 @@
             searches_.erase(tuple);
         } else {
             searches_.find(tuple)->evaluatedAsOf = states[service].completeAsOf.value_or(Timestamp());
-            evaluate(now, *service, tuple);
+            evaluate(now, *service, tuple, false);
         }
     }
 }
@@ -245,7 +267,7 @@
     const RelayedService *service = context_.table ? context_.table->find(tuple) : nullptr;
     if (search != nullptr && service != nullptr) {
         search->denied.insert(agent);
-        evaluate(now, *service, tuple);
+        evaluate(now, *service, tuple, false);
     }
 }
 
--- a/src/relay/flowfinder.h
+++ b/src/relay/flowfinder.h
@@ -82,10 +82,12 @@
 private:
     /** Asks the agents that may hold the flow, and requests the lists that are missing. Ends a search for a lost flow.
      */
-    void evaluate(Timestamp now, const RelayedService &service, const FlowTuple &tuple);
+    void evaluate(Timestamp now, const RelayedService &service, const FlowTuple &tuple, bool packetArrived);
     /** Evaluates the searches for which the missing lists have arrived. */
     void evaluateCovered(Timestamp now);
     void ask(Timestamp now, FlowSearch &search, const PeerAddress &agent, GroupId group);
+    /** Sends a packet of the flow to an agent whose target alone can tell whether it holds the flow. */
+    void probe(Timestamp now, FlowSearch &search, const PeerAddress &agent, GroupId group, bool packetArrived);
     /** Handles a flow that no known agent holds: resets the caller if no other agent can hold it. */
     void conclude(Timestamp now, const RelayedService &service, FlowSearch &search);
     void sendListRequests(Timestamp now);
