--- a/src/tests/relayagenttest.cpp
+++ b/src/tests/relayagenttest.cpp
@@ -1,116 +1,8 @@
 #define BOOST_TEST_MODULE RelayAgent
-#include "tests/relaysimulation.h"
-
-#include <boost/test/unit_test.hpp>
+#include "tests/relayagentfixture.h"
 
 using namespace rhubarblane;
 
-namespace
-{
-
-struct RelayAgentFixture {
-    RelayAgentFixture()
-    {
-        report(1, 5000);
-        output.clear();
-    }
-
-    bool report(std::uint64_t sequence, std::int64_t started, bool draining = false, const std::string &id = "desk-1")
-    {
-        TargetReport report;
-        report.target = id;
-        report.group = "desk";
-        report.started = started;
-        report.sequence = sequence;
-        report.slots = 1;
-        report.draining = draining;
-        return agent.onTargetReport(now, report);
-    }
-
-    void forward(const std::string &packet,
-                 ForwardMode mode,
-                 std::uint32_t acceptedWait = 0,
-                 const std::string &group = "desk",
-                 std::uint32_t coldLimit = 0)
-    {
-        wire::relay::Message message;
-        message.mutable_forward()->set_group(groupIdOf(group).value());
-        message.mutable_forward()->set_mode(static_cast<std::uint32_t>(mode));
-        message.mutable_forward()->set_accepted_wait_ms(acceptedWait);
-        message.mutable_forward()->set_cold_limit(coldLimit);
-        message.mutable_forward()->set_packet(packet);
-        agent.onPeerMessage(now, balancer, message);
-    }
-
-    void open(const RelayCaller &sender)
-    {
-        forward(sender.opening(), ForwardMode::Open);
-        agent.onTargetPacket(now, sender.answer(true, 0));
-    }
-
-    /** Returns the reason of the first returned packet, or no value if none was returned. */
-    std::optional<ReturnReason> returned() const
-    {
-        for (const auto &[peer, message] : output.toPeers) {
-            if (message.has_returned()) {
-                return static_cast<ReturnReason>(message.returned().reason());
-            }
-        }
-        return std::nullopt;
-    }
-
-    std::optional<FlowPresence> answered() const
-    {
-        std::optional<FlowPresence> presence;
-        for (const auto &[peer, message] : output.toPeers) {
-            if (message.has_flow_answer()) {
-                presence = static_cast<FlowPresence>(message.flow_answer().presence());
-            }
-        }
-        return presence;
-    }
-
-    /** Advances the time with regular ticks, so that the agent detects no pause of its process. */
-    void advance(std::int64_t milliseconds)
-    {
-        const Timestamp end = now + Milliseconds(milliseconds);
-        while (now < end) {
-            now = now + Milliseconds(20);
-            agent.onTick(now);
-        }
-    }
-
-    /** Returns the next report of a target that was running before its agent was restarted. */
-    static TargetReport reportOfRunningTarget()
-    {
-        TargetReport running;
-        running.target = "desk-1";
-        running.group = "desk";
-        running.started = 5000;
-        running.sequence = 40;
-        return running;
-    }
-
-    static wire::relay::Message forwarded(const std::string &packet, ForwardMode mode)
-    {
-        wire::relay::Message message;
-        message.mutable_forward()->set_group(groupIdOf("desk").value());
-        message.mutable_forward()->set_mode(static_cast<std::uint32_t>(mode));
-        message.mutable_forward()->set_packet(packet);
-        return message;
-    }
-
-    Timestamp now {100000};
-    PlainPacketFormat format;
-    RecordedOutput output;
-    PeerAddress balancer {0x0a000001, 7720};
-    RelayAgent agent {{relayPeer("agent-1", PeerRole::Agent, 9), "desk", Milliseconds(1000), {}}, now, format, output};
-    RelayCaller caller {40001};
-    RelayCaller other {40002};
-};
-
-} // namespace
-
 BOOST_FIXTURE_TEST_SUITE(RelayAgentTest, RelayAgentFixture)
 
 // Guards against an opened flow of which the balancer is not notified.
@@ -215,19 +107,6 @@
     BOOST_TEST(output.toTarget.empty());
 }
 
-// Guards against new flows at a draining target when balancers do not know its state yet.
-BOOST_AUTO_TEST_CASE(agentWithDrainingTargetKeepsFlowsAndReturnsNewOnes)
-{
-    open(caller);
-    report(2, 5000, true);
-    output.clear();
-    forward(caller.data(1), ForwardMode::Known);
-    BOOST_TEST(output.toTarget.size() == 1u);
-    forward(other.opening(), ForwardMode::Open, 500);
-    BOOST_TEST((returned() == ReturnReason::NotReady));
-    BOOST_TEST(output.toTarget.size() == 1u);
-}
-
 // Guards against a new flow on a used port that is taken for a copy of the earlier opening packet, and so passes the
 // limits of new flows: it would reach a draining target.
 BOOST_AUTO_TEST_CASE(agentWithNewFlowOnUsedPortAppliesLimitsOfNewFlows)
@@ -290,171 +169,6 @@
     BOOST_TEST((agent.state(now) == TargetState::Ready));
 }
 
-// Guards against an agent that ignores a target for as long as it runs, because the clock was set back between two
-// starts of the target (review/3).
-BOOST_AUTO_TEST_CASE(agentWithTargetRestartedAfterClockWasSetBackAppliesItsReports)
-{
-    BOOST_TEST(report(1, 8000));
-    advance(300);
-    // Without acknowledgement the target repeats the report.
-    BOOST_TEST(!report(1, 6000));
-    BOOST_TEST(output.hasDecision("targetReportUnconfirmed"));
-    BOOST_TEST(report(2, 6000));
-    BOOST_TEST(report(3, 6000, true));
-    BOOST_TEST((agent.state(now) == TargetState::Draining));
-    // The replaced start has the later start time, but its late report is as outdated.
-    BOOST_TEST(!report(2, 8000));
-    BOOST_TEST((agent.state(now) == TargetState::Draining));
-    BOOST_TEST(report(4, 6000, true));
-    BOOST_TEST(!report(3, 8000));
-    BOOST_TEST((agent.state(now) == TargetState::Draining));
-}
-
-// Guards against a draining report of such a start that is acknowledged and not applied.
-BOOST_AUTO_TEST_CASE(agentWithDrainingReportOfUnconfirmedStartDoesNotAcknowledgeIt)
-{
-    BOOST_TEST(report(2, 8000));
-    BOOST_TEST(!report(1, 6000, true));
-    BOOST_TEST(report(2, 6000, true));
-    BOOST_TEST((agent.state(now) == TargetState::Draining));
-}
-
-// Guards against a new target that must report twice although the one before has left or has not reported for long, and
-// against late reports of replaced starts at that time.
-BOOST_AUTO_TEST_CASE(agentWithTargetThatEndedAppliesReportOfNextStartImmediately)
-{
-    BOOST_TEST(report(1, 8000));
-    agent.onTargetLeft(now, "desk-1");
-    BOOST_TEST(report(1, 6000, false, "desk-2"));
-    BOOST_TEST((agent.state(now) == TargetState::Ready));
-    BOOST_TEST(!report(2, 8000));
-    advance(2100);
-    BOOST_TEST(!report(3, 5000));
-    BOOST_TEST(report(1, 5500, true, "desk-3"));
-    BOOST_TEST((agent.state(now) == TargetState::Draining));
-}
-
-// Guards against a target that is ignored because it has started again with the same start time.
-BOOST_AUTO_TEST_CASE(agentWithTargetRestartedAtSameStartTimeAppliesItsReports)
-{
-    BOOST_TEST(report(9, 5000));
-    advance(1000);
-    BOOST_TEST(report(1, 5000, true));
-    BOOST_TEST((agent.state(now) == TargetState::Ready));
-    advance(1100);
-    BOOST_TEST(!report(2, 5000, true));
-    BOOST_TEST(report(3, 5000, true));
-    BOOST_TEST((agent.state(now) == TargetState::Draining));
-}
-
-// Guards against flows of an earlier start of the target that get no answer until their callers give up.
-BOOST_AUTO_TEST_CASE(agentWithRestartedTargetReportsFlowAbsent)
-{
-    open(caller);
-    open(other);
-    report(1, 6000, false, "desk-2");
-    output.clear();
-    forward(caller.data(1), ForwardMode::Known);
-    BOOST_REQUIRE(output.toTarget.size() == 1u);
-    agent.onTargetPacket(now, RelayCaller::returned(output.toTarget.back()));
-    BOOST_TEST((returned() == ReturnReason::NotHeld));
-    forward(caller.data(1), ForwardMode::Search);
-    BOOST_TEST((answered() == FlowPresence::Absent));
-
-    forward(other.data(1), ForwardMode::Search);
-    BOOST_REQUIRE(output.toTarget.size() == 2u);
-    output.toPeers.clear();
-    agent.onTargetPacket(now, RelayCaller::returned(output.toTarget.back()));
-    BOOST_TEST((answered() == FlowPresence::Absent));
-    BOOST_TEST(output.toCallers.empty());
-}
-
-// Guards against the reset of flows that a new start of the target opened before its first report (review/4).
-BOOST_AUTO_TEST_CASE(agentWithFlowOpenedBeforeFirstReportOfNewStartKeepsIt)
-{
-    advance(300);
-    open(caller);
-    open(other);
-    report(1, 6000);
-    output.clear();
-    forward(caller.data(1), ForwardMode::Known);
-    BOOST_REQUIRE(output.toTarget.size() == 1u);
-    agent.onTargetPacket(now, caller.answer(false, 50));
-    BOOST_TEST(!returned().has_value());
-    BOOST_TEST((answered() == FlowPresence::Held));
-    BOOST_TEST(output.toCallers.size() == 1u);
-
-    // Another balancer that does not know the owner.
-    output.clear();
-    forward(other.data(1), ForwardMode::Search);
-    BOOST_TEST(!answered().has_value());
-    agent.onTargetPacket(now, other.answer(false, 50));
-    BOOST_TEST((answered() == FlowPresence::Held));
-}
-
-// Guards against the same fault when the agent was restarted before the first report of the new start.
-BOOST_AUTO_TEST_CASE(agentRestartedBeforeFirstReportOfTargetKeepsFlowWithPackets)
-{
-    RecordedOutput restartedOutput;
-    RelayAgent restarted(
-        {relayPeer("agent-1", PeerRole::Agent, 9), "desk", Milliseconds(1000), {}}, now, format, restartedOutput);
-    restarted.onTargetPacket(now, caller.answer(false, 50));
-    TargetReport first = reportOfRunningTarget();
-    first.sequence = 1;
-    restarted.onTargetReport(now, first);
-    restartedOutput.clear();
-    restarted.onPeerMessage(now, balancer, forwarded(caller.data(1), ForwardMode::Known));
-    BOOST_TEST(restartedOutput.toTarget.size() == 1u);
-    BOOST_TEST(restartedOutput.toPeers.empty());
-}
-
-// Guards against searches that deliver packets to targets that cannot hold the flow.
-BOOST_AUTO_TEST_CASE(agentThatObservedTargetStartReportsUnknownFlowAbsent)
-{
-    forward(caller.data(1), ForwardMode::Search);
-    BOOST_TEST((answered() == FlowPresence::Absent));
-    BOOST_TEST(output.toTarget.empty());
-}
-
-// Guards against the loss of open flows when only the agent restarts.
-BOOST_AUTO_TEST_CASE(agentRestartedWhileTargetRunsProbesUnknownFlow)
-{
-    RecordedOutput restartedOutput;
-    RelayAgent restarted(
-        {relayPeer("agent-1", PeerRole::Agent, 9), "desk", Milliseconds(1000), {}}, now, format, restartedOutput);
-    restarted.onTargetReport(now, reportOfRunningTarget());
-    restarted.onPeerMessage(now, balancer, forwarded(caller.data(1), ForwardMode::Search));
-    restarted.onPeerMessage(now, balancer, forwarded(other.data(1), ForwardMode::Search));
-    BOOST_REQUIRE(restartedOutput.toTarget.size() == 2u);
-
-    restarted.onTargetPacket(now, caller.answer(false, 50));
-    restarted.onTargetPacket(now, RelayCaller::returned(restartedOutput.toTarget[1]));
-    std::vector<FlowPresence> presences;
-    for (const auto &[peer, sent] : restartedOutput.toPeers) {
-        if (sent.has_flow_answer()) {
-            presences.push_back(static_cast<FlowPresence>(sent.flow_answer().presence()));
-        }
-    }
-    BOOST_REQUIRE(presences.size() == 2u);
-    BOOST_TEST((presences[0] == FlowPresence::Held));
-    BOOST_TEST((presences[1] == FlowPresence::Absent));
-}
-
-// Guards against the reset of a live flow: after a rolling restart, an agent saw packets of flows before the target's
-// first report, and took these flows for those of an ended target. Found by the soak test with seed 5.
-BOOST_AUTO_TEST_CASE(agentWithPacketBeforeFirstReportKeepsFlowOfRunningTarget)
-{
-    RecordedOutput restartedOutput;
-    RelayAgent restarted(
-        {relayPeer("agent-1", PeerRole::Agent, 9), "desk", Milliseconds(1000), {}}, now, format, restartedOutput);
-    restarted.onTargetPacket(now, caller.answer(false, 50));
-    restarted.onTargetReport(now, reportOfRunningTarget());
-    restartedOutput.clear();
-    restarted.onPeerMessage(now, balancer, forwarded(caller.data(1), ForwardMode::Known));
-    BOOST_TEST(restartedOutput.toTarget.size() == 1u);
-    BOOST_TEST(restartedOutput.toPeers.empty());
-}
-
 // Guards against wrong answers to flow queries: a flow that all agents report absent is reset.
 BOOST_AUTO_TEST_CASE(agentQueriedForFlowReportsWhetherTargetHoldsIt)
 {
@@ -481,25 +195,6 @@
     BOOST_TEST((query(caller, "desk") == FlowPresence::Absent));
 }
 
-// Guards against callers that wait for a target that has ended: on dryer-book, inc-209f, the restarted agent of a
-// removed target was uncertain of all flows and dropped the resets of its VM.
-BOOST_AUTO_TEST_CASE(agentWhoseTargetDoesNotListenReportsSearchedFlowAbsent)
-{
-    RecordedOutput restartedOutput;
-    RelayAgent restarted(
-        {relayPeer("agent-1", PeerRole::Agent, 9), "desk", Milliseconds(1000), {}}, now, format, restartedOutput);
-    for (const ForwardMode mode : {ForwardMode::Search, ForwardMode::Known}) {
-        restartedOutput.clear();
-        restarted.onPeerMessage(now, balancer, forwarded(caller.data(1), mode));
-        BOOST_TEST(restartedOutput.toTarget.size() == 1u);
-        restarted.onTargetPacket(now, caller.answer(false, 0, true));
-        BOOST_TEST(restartedOutput.toCallers.empty());
-        BOOST_REQUIRE(restartedOutput.toPeers.size() == 1u);
-        BOOST_TEST(restartedOutput.toPeers[0].second.flow_answer().presence()
-                   == static_cast<std::uint32_t>(FlowPresence::Absent));
-    }
-}
-
 // Guards against the reset of an open flow by a target that is starting: found as a FLOW failure on dryer-book,
 // scale-1, seed 155637112533.
 BOOST_AUTO_TEST_CASE(agentWithResetForFlowThatItsTargetDoesNotHoldDropsIt)
@@ -536,21 +231,6 @@
     BOOST_TEST((answered() == FlowPresence::Absent));
 }
 
-// Guards against the reset of live flows: a target that sent nothing for seconds and resumes still holds flows whose
-// records the agent has discarded.
-BOOST_AUTO_TEST_CASE(agentWhoseSilentTargetResumesIsUncertainOfDiscardedFlow)
-{
-    open(caller);
-    advance(3200);
-    forward(caller.data(1), ForwardMode::Search);
-    BOOST_TEST((answered() == FlowPresence::Absent));
-    report(2, 5000);
-    output.clear();
-    forward(caller.data(1), ForwardMode::Search);
-    BOOST_TEST(!answered().has_value());
-    BOOST_TEST(output.toTarget.size() == 1u);
-}
-
 // Guards against searches that wait 5 s for an agent that has exited permanently: on dryer-book, inc-209f, targets
 // ended during a power failure, so their restarted agents never received a report, and 40 requests failed.
 BOOST_AUTO_TEST_CASE(agentThatLeavesWithoutAnyReportAnnouncesEndOfTarget)
@@ -584,17 +264,6 @@
     BOOST_TEST((restarted.state(now + Milliseconds(3200)) == TargetState::Gone));
 }
 
-// Guards against callers that wait for a target that ended before its agent.
-BOOST_AUTO_TEST_CASE(agentThatLeavesAfterItsTargetReportsFlowsAbsent)
-{
-    open(caller);
-    agent.onTargetLeft(now, "desk-1");
-    agent.beginLeave(now);
-    output.clear();
-    forward(caller.data(1), ForwardMode::Search);
-    BOOST_TEST((answered() == FlowPresence::Absent));
-}
-
 // Guards against new flows that are lost at a target that no longer accepts connections.
 BOOST_AUTO_TEST_CASE(agentWithUnansweredOpeningPacketAcceptsNoMoreFlows)
 {
