--- a/src/node/nodereport.cpp
+++ b/src/node/nodereport.cpp
@@ -232,7 +232,7 @@
     addEvacuations(text, core.zone().evacuations());
     text.gauge("zone_evacuated", "1 while the own zone is evacuated", core.zone().isEvacuated() ? 1.0 : 0.0);
     const ColdStartLimiter &cold = core.coldStart();
-    text.gauge("cold_left_ms",
+    text.gauge("cold_for_ms",
                "Time for which the target still has a lower capacity after its start",
                static_cast<double>(cold.coldLeft(now).count()));
     text.gauge("cold_limit", "Maximum of new flows per second while cold, 0 if there is none", cold.limit());
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -493,7 +493,7 @@
     load.set_service_time_us(static_cast<std::uint32_t>(flows_.meter().serviceTimeMs() * 1000.0));
     load.set_utilization(static_cast<std::uint32_t>(flows_.meter().utilization(now) * 1000.0));
     load.set_state(static_cast<std::uint32_t>(state(now)));
-    load.set_cold_left_ms(static_cast<std::uint32_t>(coldStart_.coldLeft(now).count()));
+    load.set_cold_for_ms(static_cast<std::uint32_t>(coldStart_.coldLeft(now).count()));
     if (const std::optional<std::uint32_t> left = coldStart_.openingsLeft(now)) {
         load.set_cold_openings_left(*left + 1);
     }
--- a/src/relay/targetdirectory.cpp
+++ b/src/relay/targetdirectory.cpp
@@ -82,7 +82,7 @@
     target.openFlows = load.open_flows();
     target.serviceTimeMs = load.service_time_us() / 1000.0;
     target.utilization = load.utilization() / 1000.0;
-    target.coldUntil = now + Milliseconds(load.cold_left_ms());
+    target.coldUntil = now + Milliseconds(load.cold_for_ms());
     target.coldOpeningsLeft =
         load.cold_openings_left() == 0 ? std::nullopt : std::optional<std::uint32_t>(load.cold_openings_left() - 1);
     target.offered = 0;
--- a/src/tests/relaybalancerfixture.h
+++ b/src/tests/relaybalancerfixture.h
@@ -47,7 +47,7 @@
         returned->mutable_load()->set_busy(4);
         returned->mutable_load()->set_state(static_cast<std::uint32_t>(TargetState::Ready));
         if (reason == ReturnReason::Cold) {
-            returned->mutable_load()->set_cold_left_ms(5000);
+            returned->mutable_load()->set_cold_for_ms(5000);
             returned->mutable_load()->set_cold_openings_left(1); // None.
         }
         returned->set_packet(packet);
