--- a/review/standins-2.h
+++ b/review/standins-2.h
@@ -271,6 +271,16 @@
         }
     }
 
+    /** While the store is down, it answers all calls with 503; the leases run out meanwhile. */
+    void setDown(bool down)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        down_ = down;
+        while (down && !leases_.empty()) {
+            endLease(leases_.begin()->first);
+        }
+    }
+
     std::set<std::string> keys(const std::string &prefix)
     {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -443,7 +453,7 @@
         const std::string path = message.start.substr(from, message.start.find(' ', from) - from);
         const auto is = [&path](const char *text) { return path.compare(0, std::strlen(text), text) == 0; };
         std::unique_lock<std::mutex> lock(mutex_);
-        if (refused_.count(ip) > 0) {
+        if (down_ || refused_.count(ip) > 0) {
             status = 503;
             return "{}";
         }
@@ -477,6 +487,10 @@
                     return "{\"events\":[" + events + "],\"at_rev\":" + std::to_string(revision_) + "}";
                 }
                 changed_.wait_until(lock, std::min(end, Clock::now() + Ms(200)));
+                if (down_) {
+                    status = 503;
+                    return "{}";
+                }
             }
         }
         if (is("/rhubarblane/kv-lease-end/")) {
@@ -520,6 +534,7 @@
     std::vector<Event> events_;
     std::map<std::uint64_t, Lease> leases_;
     std::set<std::uint32_t> refused_;
+    bool down_ = false;
     std::uint64_t revision_ = 100;
     std::uint64_t lastLease_ = 7000;
 };
@@ -530,7 +545,7 @@
 {
 public:
     Node(const Network &network, const std::string &folder, const std::string &role, const std::string &name, int host,
-         int storeHost, const std::string &service = {}, int heartbeatMs = 770)
+         int storeHost, const std::string &service = {}, int heartbeatMs = 770, int seedHost = 11)
         : ip(network.ip(host))
         , role_(role)
         , name(name)
@@ -548,7 +563,7 @@
                      ip.c_str());
         std::fprintf(file, "listen.data_addr=%s\nlisten.ready=%s\nlisten.control=%s\nport_range=%d,%d\nseeds=%s:%d\n",
                      at(network.data).c_str(), at(network.ready).c_str(), at(network.control).c_str(), network.peers,
-                     network.peers + 15, network.ip(11).c_str(), network.control);
+                     network.peers + 15, network.ip(seedHost).c_str(), network.control);
         std::fprintf(file, "bootstrap=true\ncounts_as_loss=false\nlimits.cpu_share=0.15\nlimits.memory_mb=128\n"
                      "discovery=local\nentry=advertise\nheartbeat_ms=%d\ncontracts=base,drain,config,cost,recover,flows,platform\n"
                      "bounds.stable_ms=4000\nbounds.ack_ms=5000\nbounds.drain_ms=3000\nbounds.grace_s=6\n"
