--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -120,6 +120,7 @@
         sleepMs(3000);
         done = true;
         waitFor([&] { return running == 0; }, 8000);
+        client.stopReporting();
         record.line("%d flows opened, %d requests answered; %d open flows reset by the system", opened.load(),
                     answered.load(), broken.load());
         return broken == 0;
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -89,6 +89,7 @@
         for (std::thread &user : users) {
             user.join();
         }
+        client.stopReporting();
         record.line("%d requests answered; %d of %zu open flows reset by the system", answered.load(), broken.load(),
                     ports.size());
         return broken == 0;
--- a/review/standins-2.h
+++ b/review/standins-2.h
@@ -1170,7 +1170,12 @@
         const std::lock_guard<std::mutex> lock(mutex_);
         return flows_[port].end;
     }
-    /** Called without the lock held by others when an open flow is reset by the system. */
+    /** Ends the calls of onReset, whose data is about to be destroyed. */
+    void stopReporting()
+    {
+        ended_ = true;
+    }
+    /** Called when an open flow is reset by the system. */
     std::function<void(const FlowKey &)> onReset;
 
 private:
@@ -1228,7 +1233,7 @@
                     flow.end = flow.open ? FlowEnd::Reset : FlowEnd::ResetBeforeOpen;
                     record_.line("client got a reset%s on %s flow %u", system ? " of the system's" : " of an endpoint",
                                  flow.open ? "open" : "opening", packet.dport);
-                    if (flow.open && system && onReset) {
+                    if (flow.open && system && onReset && !ended_) {
                         after = [this, key = flow.key] { onReset(key); };
                     }
                 } else if ((packet.flags & Syn) != 0) {
@@ -1255,6 +1260,7 @@
     std::uint32_t ip_;
     int descriptor_;
     std::mt19937 random_;
+    std::atomic<bool> ended_ {false};
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::uint16_t, Flow> flows_;
