--- a/src/relay/agentcoverage.cpp
+++ b/src/relay/agentcoverage.cpp
@@ -57,6 +57,11 @@
     return startedWithAllOthers(peers) ? CommonStartDiscoveryPeriod : UsualDiscoveryPeriod;
 }
 
+std::optional<Milliseconds> AgentCoverage::firstReadDelay() const
+{
+    return firstStoreRead_ ? std::optional<Milliseconds>(*firstStoreRead_ - started_) : std::nullopt;
+}
+
 bool AgentCoverage::startedWithAllOthers(const PeerDirectory &peers) const
 {
     const auto isOlder = [this](const PeerDirectory::Entry *entry) {
--- a/src/relay/agentcoverage.h
+++ b/src/relay/agentcoverage.h
@@ -26,12 +26,16 @@
 
     bool isComplete(Timestamp now, const PeerDirectory &peers, const TargetDirectory &targets) const;
 
-private:
     /**
      * Returns how long an agent may remain unknown after the first read of the store, or after the balancer's start if
      * the store has not been read.
      */
     Milliseconds discoveryPeriod(const PeerDirectory &peers) const;
+
+    /** Returns the time from the start to the first read of the store, or no value before it. */
+    std::optional<Milliseconds> firstReadDelay() const;
+
+private:
     /** Returns true if all known processes started at about the same time as the balancer, as after a power failure. */
     bool startedWithAllOthers(const PeerDirectory &peers) const;
 
--- a/src/relay/flowfinder.cpp
+++ b/src/relay/flowfinder.cpp
@@ -25,6 +25,15 @@
 // Longer than a round of list requests with a repetition. Callers retransmit a packet after at most 1.6 s.
 constexpr Milliseconds SearchPeriod(1000);
 
+std::string joinGroupNames(const RelayedService &service)
+{
+    std::string result;
+    for (const WeightedGroup &group : service.groups) {
+        result += (result.empty() ? "" : ",") + group.name;
+    }
+    return result;
+}
+
 } // namespace
 
 FlowFinder::FlowFinder(RelayBalancerContext &context)
@@ -135,12 +144,20 @@
         return;
     }
     const RelayPacket head = search.head;
-    context_.output.logDecision("flowLost",
-                                {{"flow", formatFlowTuple(head.flow)},
-                                 {"targets", std::to_string(context_.targets.size())},
-                                 {"asked", std::to_string(search.asked.size())},
-                                 {"searchedMs", std::to_string((now - search.started).count())},
-                                 {"outcome", certain ? "reset" : "undecided"}});
+    const PeerDirectory &peers = context_.peers.directory();
+    context_.output.logDecision(
+        "flowLost",
+        {{"flow", formatFlowTuple(head.flow)},
+         {"table", std::to_string(context_.table->version.value())},
+         {"groups", joinGroupNames(service)},
+         {"targets", std::to_string(context_.targets.size())},
+         {"agentsListed", std::to_string(peers.withRole(PeerRole::Agent).size())},
+         {"sinceStartMs", std::to_string((now - context_.started).count())},
+         {"storeReadAfterMs", std::to_string(coverage_.firstReadDelay().value_or(Milliseconds(-1)).count())},
+         {"discoveryMs", std::to_string(coverage_.discoveryPeriod(peers).count())},
+         {"asked", std::to_string(search.asked.size())},
+         {"searchedMs", std::to_string((now - search.started).count())},
+         {"outcome", certain ? "reset" : "undecided"}});
     if (!certain) {
         FlowSearches::markUndecided(search);
         return;
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -438,7 +438,15 @@
 void RelayAgent::onTargetLeft(Timestamp now, const std::string &target)
 {
     const bool current = target_.noteLeave(target);
-    output_.logDecision("targetLeft", {{"target", target}, {"outcome", current ? "gone" : "ignored"}});
+    const TargetReport &last = target_.lastReport();
+    output_.logDecision("targetLeft",
+                        {{"target", target},
+                         {"lastTarget", last.target},
+                         {"lastStarted", std::to_string(last.started)},
+                         {"lastSequence", std::to_string(last.sequence)},
+                         {"draining", last.draining ? "true" : "false"},
+                         {"lastAgeMs", std::to_string(target_.reportAge(now).value_or(Milliseconds(-1)).count())},
+                         {"outcome", current ? "gone" : "ignored"}});
     peers_.requestReport(now);
 }
 
