Take a target for ended only if nothing is heard of it after its announcement

What callers saw: a target drained, sent its DELETE and ended; a partition held the DELETE up. The target started again under the same id and opened flows.

Cause: the announcement names the id of the target, not its start. The agent applied it to the current start, returned the packets of all its flows and denied them until the next status report.

Evidence: targetLeft has lastTarget=i-1 draining=false lastAgeMs=587 outcome=gone, 200 ms later targetState shows the same start as ready; in between flowLost for the flows with packets.

Change: a target that announces its end sends nothing after it, so the agent waits for what follows. A report or a packet shows that the target runs; two report intervals without any count as its end. Until then its flows go on, and the VM of a target that has ended resets their packets. Resets do not show a running target any more. Held requests are passed on at once. This holds in any state of the running start, also while it drains, and for any delay of the announcement.

--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -253,7 +253,8 @@
         ++counters_.malformed;
         return;
     }
-    if (!isResetOfUnknownFlow(*head)) {
+    // The VM of a target that does not listen resets every packet.
+    if (!head->reset || head->returned) {
         target_.noteResponse(now);
     }
     if (head->returned) {
@@ -438,7 +439,7 @@
 
 void RelayAgent::onTargetLeft(Timestamp now, const std::string &target)
 {
-    const bool current = target_.noteLeave(target);
+    const bool current = target_.noteLeave(now, target);
     const TargetReport &last = target_.lastReport();
     output_.logDecision("targetLeft",
                         {{"target", target},
@@ -447,7 +448,11 @@
                          {"lastSequence", std::to_string(last.sequence)},
                          {"draining", last.draining ? "true" : "false"},
                          {"lastAgeMs", std::to_string(target_.reportAge(now).value_or(Milliseconds(-1)).count())},
-                         {"outcome", current ? "gone" : "ignored"}});
+                         {"outcome", current ? "announced" : "ignored"}});
+    if (current) {
+        // If the target has ended, its VM resets these flows.
+        passAllHeld(now, "targetLeft");
+    }
     peers_.requestReport(now);
 }
 
@@ -547,7 +552,9 @@
         return false;
     }
     const Milliseconds waited = now - *leaving_;
-    return waited >= MaximumLeaveDuration || (waited >= MinimumLeaveDuration && flows_.meter().busy() == 0);
+    // Whether the target has ended decides what the balancers are told.
+    const bool done = flows_.meter().busy() == 0 && !target_.isLeaveUnconfirmed(now);
+    return waited >= MaximumLeaveDuration || (waited >= MinimumLeaveDuration && done);
 }
 
 TargetState RelayAgent::state(Timestamp now) const
--- a/src/relay/relayagent.h
+++ b/src/relay/relayagent.h
@@ -59,7 +59,10 @@
     /** Notifies the balancers that the process exits. */
     void finishLeave(Timestamp now);
 
-    /** Returns true if the shutdown interrupts no request in flight, or the maximum wait for that is over. */
+    /**
+     * Returns true if the shutdown interrupts no request in flight and it is known whether a target that announced its
+     * end has ended, or the maximum wait for that is over.
+     */
     bool mayExit(Timestamp now) const;
 
     TargetState state(Timestamp now) const;
--- a/src/relay/targetstatus.cpp
+++ b/src/relay/targetstatus.cpp
@@ -49,12 +49,12 @@
         }
     }
     unconfirmed_.reset();
-    const bool changed = report.draining != report_.draining || hasLeft_;
+    const bool changed = report.draining != report_.draining || leaveAnnounced_;
     report_ = report;
     lastReport_ = now;
     lastContact_ = now;
     unansweredSince_.reset();
-    hasLeft_ = false;
+    leaveAnnounced_.reset();
     if (newStart) {
         ++startCount_;
         return Change::NewStart;
@@ -84,18 +84,29 @@
     }
     const bool later =
         report.started > report_.started || (report.started == report_.started && report.target != report_.target);
-    return later || hasLeft_ || isOverdue(now);
+    return later || leaveAnnounced_ || isOverdue(now);
 }
 
-bool TargetStatus::noteLeave(const std::string &target)
+bool TargetStatus::noteLeave(Timestamp now, const std::string &target)
 {
     if (!lastReport_ || target != report_.target) {
         return false;
     }
-    hasLeft_ = true;
+    leaveAnnounced_ = now;
     return true;
 }
 
+bool TargetStatus::hasLeft(Timestamp now) const
+{
+    return leaveAnnounced_
+        && pauses_.observedSilence(now, std::max(*leaveAnnounced_, lastContact_)) > reportInterval_ * OverdueReports;
+}
+
+bool TargetStatus::isLeaveUnconfirmed(Timestamp now) const
+{
+    return leaveAnnounced_ && state(now) != TargetState::Gone;
+}
+
 void TargetStatus::noteResponse(Timestamp now)
 {
     lastContact_ = now;
@@ -111,7 +122,7 @@
 
 TargetState TargetStatus::state(Timestamp now) const
 {
-    if (hasLeft_ || pauses_.observedSilence(now, lastContact_) > reportInterval_ * MissedReports) {
+    if (hasLeft(now) || pauses_.observedSilence(now, lastContact_) > reportInterval_ * MissedReports) {
         return TargetState::Gone;
     }
     if (!lastReport_) {
--- a/src/relay/targetstatus.h
+++ b/src/relay/targetstatus.h
@@ -59,8 +59,15 @@
      */
     Change report(Timestamp now, const TargetReport &report);
 
-    /** Records that the target announced its end. Returns false if this is not the target of the last report. */
-    bool noteLeave(const std::string &target);
+    /**
+     * Records that a target announced its end. Returns false if this is not the target of the last report. The
+     * announcement does not tell its start and may be a late one of an earlier start, so it counts only if no further
+     * report or packet shows that the target still runs.
+     */
+    bool noteLeave(Timestamp now, const std::string &target);
+
+    /** Returns true if the target has announced its end, and a running target might still be heard of. */
+    bool isLeaveUnconfirmed(Timestamp now) const;
 
     /** Records a packet that proves that the target runs. */
     void noteResponse(Timestamp now);
@@ -95,6 +102,8 @@
 
 private:
     bool isOverdue(Timestamp now) const;
+    /** Returns true if the target has announced its end and was not heard of for as long as a report may be late. */
+    bool hasLeft(Timestamp now) const;
     bool wasReplaced(const TargetReport &report) const;
     /** Returns true if a report that does not continue the current start proves a new start. */
     bool provesNewStart(Timestamp now, const TargetReport &report) const;
@@ -112,7 +121,8 @@
     std::optional<Timestamp> unansweredSince_;
     PauseDetector pauses_;
     std::uint64_t startCount_ = 0;
-    bool hasLeft_ = false;
+    /** Time at which the target announced its end, if it has not reported since. */
+    std::optional<Timestamp> leaveAnnounced_;
 };
 
 } // namespace rhubarblane
--- a/src/tests/relayagentrestarttest.cpp
+++ b/src/tests/relayagentrestarttest.cpp
@@ -220,12 +220,84 @@
 // Guards against callers that wait for a target that ended before its agent.
 BOOST_AUTO_TEST_CASE(agentThatLeavesAfterItsTargetReportsFlowsAbsent)
 {
+    const Peer known = relayPeer("balancer-1", PeerRole::Balancer, 1);
+    agent.onStorePeers(now, {known});
     open(caller);
     agent.onTargetLeft(now, "desk-1");
     agent.beginLeave(now);
+    // A late announcement of an earlier start looks the same, so the target must be silent as well.
+    advance(1900);
+    BOOST_TEST(!agent.mayExit(now));
+    advance(200);
+    BOOST_TEST(agent.mayExit(now));
     output.clear();
     forward(caller.data(1), ForwardMode::Search);
     BOOST_TEST((answered() == FlowPresence::Absent));
+    output.clear();
+    agent.finishLeave(now);
+    BOOST_REQUIRE(output.toPeers.size() == 1u);
+    BOOST_TEST(output.toPeers[0].second.hello().target_ended());
+}
+
+// Guards against the reset of the flows of a running target by the announcement of an earlier start under the same id
+// that arrives late (review/8), in any state of the running one.
+BOOST_AUTO_TEST_CASE(agentWithLateLeaveOfEarlierStartKeepsFlowsOfRunningTarget)
+{
+    for (const bool draining : {false, true}) {
+        BOOST_TEST_CONTEXT("draining " << draining)
+        {
+            const std::int64_t started = draining ? 7000 : 6000;
+            const RelayCaller &user = draining ? other : caller;
+            report(1, started);
+            open(user);
+            BOOST_TEST(report(2, started, draining));
+            advance(600);
+            agent.onTargetLeft(now, "desk-1");
+            advance(300);
+            output.clear();
+            forward(user.data(1), ForwardMode::Known);
+            forward(user.data(1), ForwardMode::Search);
+            BOOST_TEST(output.toTarget.size() == 2u);
+            BOOST_TEST(!returned().has_value());
+            BOOST_TEST((answered() == FlowPresence::Held));
+            BOOST_TEST((agent.state(now) == (draining ? TargetState::Draining : TargetState::Ready)));
+            BOOST_TEST(report(3, started, draining));
+            advance(2900);
+            output.clear();
+            forward(user.data(2), ForwardMode::Search);
+            BOOST_TEST((answered() == FlowPresence::Held));
+        }
+    }
+}
+
+// Guards against the same if packets are the only sign of the running target, since its reports are late.
+BOOST_AUTO_TEST_CASE(agentWithLateLeaveKeepsFlowsOfTargetThatAnswers)
+{
+    open(caller);
+    agent.onTargetLeft(now, "desk-1");
+    for (int answers = 0; answers < 5; ++answers) {
+        advance(1000);
+        agent.onTargetPacket(now, caller.answer(false, 50));
+        output.clear();
+        forward(caller.data(1), ForwardMode::Search);
+        BOOST_TEST((answered() == FlowPresence::Held));
+    }
+}
+
+// Guards against a target that counts as running after its end since its VM resets all packets.
+BOOST_AUTO_TEST_CASE(agentWhoseTargetLeftAndOnlyResetsDeclaresItGone)
+{
+    open(caller);
+    open(other);
+    agent.onTargetLeft(now, "desk-1");
+    advance(1500);
+    agent.onTargetPacket(now, caller.answer(false, 0, true));
+    BOOST_TEST((agent.state(now) == TargetState::Ready));
+    advance(600);
+    BOOST_TEST((agent.state(now) == TargetState::Gone));
+    output.clear();
+    forward(other.data(1), ForwardMode::Search);
+    BOOST_TEST((answered() == FlowPresence::Absent));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
