Ask the agents of all groups before an open flow counts as lost

What callers saw: a version gave two services another group of targets; later each balancer was stopped and started as planned.

Cause: an open flow belongs to the target that accepted it. A balancer that does not know the owner asked only the agents of the groups that its current table gives the service and took their denial for a proof. A balancer that has just started has never seen the earlier table.

Evidence: flowLost has table=9 groups=desk-new for flows that flowOpened shows at agents of desk-old.

Change: the agents of the service's groups are asked first. If they deny the flow, or do not answer for 200 ms, all others are asked, and only their denial too proves the loss. This needs no knowledge of earlier tables, so it holds after any number of versions and for a balancer that was restarted or missed some. ServiceHistory remembers former groups for 60 s, for agents that cannot answer: they keep a flow undecided only if their group may have served the service. Targets of other groups get a packet only if the caller would be reset otherwise.

Tests: balancerWithMovedServiceFindsFlowAtFormerGroup fails without the wider search; four more guard its limits.

--- a/src/relay/flowfinder.cpp
+++ b/src/relay/flowfinder.cpp
@@ -24,6 +24,8 @@
 constexpr Milliseconds ProbeTimeout(180);
 // Longer than a round of list requests with a repetition. Callers retransmit a packet after at most 1.6 s.
 constexpr Milliseconds SearchPeriod(1000);
+// Agents of the service that run have answered by then, also if one message was lost.
+constexpr Milliseconds WideningDelay(200);
 
 std::string joinGroupNames(const RelayedService &service)
 {
@@ -68,44 +70,84 @@
     sendListRequests(now);
 }
 
+FlowFinder::Targets FlowFinder::targetsOf(const RelayedService &service) const
+{
+    Targets result;
+    for (const WeightedGroup &group : service.groups) {
+        const Targets targets = context_.targets.ofGroup(group.id);
+        result.insert(result.end(), targets.begin(), targets.end());
+    }
+    return result;
+}
+
+FlowFinder::Targets FlowFinder::otherTargets(Timestamp now, const RelayedService &service) const
+{
+    Targets result;
+    for (const auto &[address, target] : context_.targets.all()) {
+        const bool answers = !context_.isSilent(now, target) && !index_.isUntracked(address);
+        if (!service.hasGroup(target.group) && (answers || history_.mayHoldFlows(now, service, target.group))) {
+            result.push_back(&target);
+        }
+    }
+    return result;
+}
+
 void FlowFinder::evaluate(Timestamp now, const RelayedService &service, const FlowTuple &tuple, bool packetArrived)
 {
     FlowSearch &search = *searches_.find(tuple);
     search.nextEvaluation = now + AnswerTimeout;
-    const FlowHash hash = flowHashOf(tuple);
-    bool anyAgent = false;
-    bool denied = true;
-    for (const WeightedGroup &group : service.groups) {
-        for (const KnownTarget *target : context_.targets.ofGroup(group.id)) {
-            anyAgent = true;
-            const PeerAddress &agent = target->agent.address;
-            if (search.denied.count(agent) > 0) {
-                continue;
-            }
-            const FlowIndex::Knowledge knowledge = index_.find(agent, hash, search.started);
-            if (knowledge == FlowIndex::Knowledge::Absent) {
-                continue;
-            }
-            denied = false;
-            if (knowledge == FlowIndex::Knowledge::Listed) {
-                ask(now, search, agent, group.id);
-            } else if (knowledge == FlowIndex::Knowledge::Untracked) {
-                probe(now, search, agent, group.id, packetArrived);
-            }
-            if (index_.completeAsOf(agent) < search.started) {
-                index_.request(agent, group.id, search.started);
-            }
-        }
+    const Targets own = targetsOf(service);
+    const bool deniedByOwn = askAgents(now, search, own, true, packetArrived);
+    bool denied = deniedByOwn;
+    // An agent of the service that does not answer must not prevent that the owner is found.
+    if (!search.widened && (deniedByOwn || now - search.started >= WideningDelay)) {
+        search.widened = true;
+        search.evaluatedAsOf = Timestamp();
+    }
+    if (search.widened) {
+        // Targets of other groups get the packet only if the caller would be reset otherwise. Without that, the flow
+        // stays undecided.
+        const bool mayProbe = deniedByOwn && mayProveLoss(now, service);
+        denied = askAgents(now, search, otherTargets(now, service), mayProbe, packetArrived) && deniedByOwn;
     }
     if (!denied) {
         search.undecided = false;
-    } else if (anyAgent) {
+    } else if (!own.empty()) {
         conclude(now, service, search);
     } else {
         FlowSearches::markUndecided(search);
     }
 }
 
+bool FlowFinder::askAgents(Timestamp now, FlowSearch &search, const Targets &targets, bool mayProbe, bool packetArrived)
+{
+    const FlowHash hash = flowHashOf(search.head.flow);
+    bool denied = true;
+    for (const KnownTarget *target : targets) {
+        const PeerAddress &agent = target->agent.address;
+        if (search.denied.count(agent) > 0) {
+            continue;
+        }
+        const FlowIndex::Knowledge knowledge = index_.find(agent, hash, search.started);
+        if (knowledge == FlowIndex::Knowledge::Absent) {
+            continue;
+        }
+        if (index_.completeAsOf(agent) < search.started) {
+            index_.request(agent, target->group, search.started);
+        }
+        if (knowledge == FlowIndex::Knowledge::Untracked && !mayProbe) {
+            continue;
+        }
+        denied = false;
+        if (knowledge == FlowIndex::Knowledge::Listed) {
+            ask(now, search, agent, target->group);
+        } else if (knowledge == FlowIndex::Knowledge::Untracked) {
+            probe(now, search, agent, target->group, packetArrived);
+        }
+    }
+    return denied;
+}
+
 void FlowFinder::ask(Timestamp now, FlowSearch &search, const PeerAddress &agent, GroupId group)
 {
     const auto [position, first] = search.asked.try_emplace(agent, now);
@@ -189,7 +231,13 @@
     }
     struct ServiceState {
         std::optional<Timestamp> completeAsOf;
+        std::optional<Timestamp> widenedCompleteAsOf;
         bool mayProveLoss = false;
+
+        std::optional<Timestamp> completeFor(const FlowSearch &search) const
+        {
+            return search.widened ? widenedCompleteAsOf : completeAsOf;
+        }
     };
     std::map<const RelayedService *, ServiceState> states;
     const auto isReady = [&](const FlowSearch &search) {
@@ -199,12 +247,17 @@
         }
         const auto [state, first] = states.try_emplace(service);
         if (first) {
-            state->second = ServiceState {completeAsOf(*service), mayProveLoss(now, *service)};
+            Targets targets = targetsOf(*service);
+            state->second.completeAsOf = completeAsOf(targets);
+            const Targets others = otherTargets(now, *service);
+            targets.insert(targets.end(), others.begin(), others.end());
+            state->second.widenedCompleteAsOf = completeAsOf(targets);
+            state->second.mayProveLoss = mayProveLoss(now, *service);
         }
         if (search.undecided) {
             return state->second.mayProveLoss;
         }
-        const std::optional<Timestamp> &complete = state->second.completeAsOf;
+        const std::optional<Timestamp> complete = state->second.completeFor(search);
         return complete >= search.started && (complete > search.evaluatedAsOf || now >= search.nextEvaluation);
     };
     for (const FlowTuple &tuple : searches_.matching(isReady)) {
@@ -212,27 +265,26 @@
         if (service == nullptr) {
             searches_.erase(tuple);
         } else {
-            searches_.find(tuple)->evaluatedAsOf = states[service].completeAsOf.value_or(Timestamp());
+            FlowSearch &search = *searches_.find(tuple);
+            search.evaluatedAsOf = states[service].completeFor(search).value_or(Timestamp());
             evaluate(now, *service, tuple, false);
         }
     }
 }
 
-std::optional<Timestamp> FlowFinder::completeAsOf(const RelayedService &service) const
+std::optional<Timestamp> FlowFinder::completeAsOf(const Targets &targets) const
 {
     std::optional<Timestamp> earliest;
-    for (const WeightedGroup &group : service.groups) {
-        for (const KnownTarget *target : context_.targets.ofGroup(group.id)) {
-            const PeerAddress &agent = target->agent.address;
-            if (index_.sendsNoLists(agent)) {
-                continue;
-            }
-            const std::optional<Timestamp> complete = index_.completeAsOf(agent);
-            if (!complete) {
-                return std::nullopt;
-            }
-            earliest = std::min(earliest.value_or(*complete), *complete);
+    for (const KnownTarget *target : targets) {
+        const PeerAddress &agent = target->agent.address;
+        if (index_.sendsNoLists(agent)) {
+            continue;
+        }
+        const std::optional<Timestamp> complete = index_.completeAsOf(agent);
+        if (!complete) {
+            return std::nullopt;
         }
+        earliest = std::min(earliest.value_or(*complete), *complete);
     }
     return earliest;
 }
@@ -317,13 +369,13 @@
         return false;
     }
     // An agent that is only silent, or has expired, may have left beside a target that still runs.
-    return std::all_of(service.groups.begin(), service.groups.end(), [&](const WeightedGroup &group) {
-        const std::vector<const KnownTarget *> targets = context_.targets.ofGroup(group.id);
-        return !context_.targets.mayHaveVanished(now, group.id)
-            && std::none_of(targets.begin(), targets.end(), [&](const KnownTarget *target) {
-                   return context_.isSilent(now, *target);
-               });
-    });
+    const auto mayHoldFlows = [&](GroupId group) { return history_.mayHoldFlows(now, service, group); };
+    const std::vector<GroupId> vanished = context_.targets.vanishedGroups(now);
+    const std::map<PeerAddress, KnownTarget> &targets = context_.targets.all();
+    return std::none_of(vanished.begin(), vanished.end(), mayHoldFlows)
+        && std::none_of(targets.begin(), targets.end(), [&](const auto &entry) {
+               return context_.isSilent(now, entry.second) && mayHoldFlows(entry.second.group);
+           });
 }
 
 } // namespace rhubarblane
--- a/src/relay/flowindex.cpp
+++ b/src/relay/flowindex.cpp
@@ -56,6 +56,12 @@
     return found != agents_.end() && found->second.unanswered >= MaximumUnanswered;
 }
 
+bool FlowIndex::isUntracked(const PeerAddress &agent) const
+{
+    const auto found = agents_.find(agent);
+    return found != agents_.end() && found->second.untracked;
+}
+
 void FlowIndex::request(const PeerAddress &agent, GroupId group, Timestamp seen)
 {
     Agent &known = agents_[agent];
--- a/src/relay/flowindex.h
+++ b/src/relay/flowindex.h
@@ -48,6 +48,9 @@
     /** Returns true if the agent does not answer list requests, as agents of earlier versions. */
     bool sendsNoLists(const PeerAddress &agent) const;
 
+    /** Returns true if the agent's target may hold flows without a record, as after a restart of the agent. */
+    bool isUntracked(const PeerAddress &agent) const;
+
     /** Requests a list of the agent with the next round, unless one that was requested at `seen` or later is due. */
     void request(const PeerAddress &agent, GroupId group, Timestamp seen);
 
--- a/src/relay/flowsearches.cpp
+++ b/src/relay/flowsearches.cpp
@@ -27,7 +27,7 @@
 FlowSearch &FlowSearches::start(Timestamp now, const RelayPacket &head, std::string_view packet)
 {
     FlowSearch &search = searches_[head.flow];
-    search = FlowSearch {now, head, false, now, Timestamp(), {}, {}, {}};
+    search = FlowSearch {now, head, false, false, now, Timestamp(), {}, {}, {}};
     addPacket(search, head, packet);
     return search;
 }
--- a/src/relay/flowsearches.h
+++ b/src/relay/flowsearches.h
@@ -23,6 +23,8 @@
     RelayPacket head;
     /** No known agent holds the flow, but some agents may be unknown. */
     bool undecided = false;
+    /** Agents of other groups than the service's are asked as well. */
+    bool widened = false;
     /** The search is evaluated again at this time if no answer arrives before. */
     Timestamp nextEvaluation;
     /** The time as of which the lists of all agents were complete at the last evaluation. */
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -308,6 +308,7 @@
          {"services", std::to_string(table.services.size())},
          {"from", std::string(source)},
          {"checkAgeMs", std::to_string(tableCheckAge(now).value_or(Milliseconds(-1)).count())}});
+    finder_.noteTable(now, this->table(), table);
     context_.table = std::move(table);
     context_.table->indexPriorities();
     context_.table->indexColdRates();
--- a/src/relay/targetdirectory.cpp
+++ b/src/relay/targetdirectory.cpp
@@ -146,10 +146,15 @@
     return expired;
 }
 
-bool TargetDirectory::mayHaveVanished(Timestamp now, GroupId group) const
+std::vector<GroupId> TargetDirectory::vanishedGroups(Timestamp now) const
 {
-    const auto found = vanished_.find(group);
-    return found != vanished_.end() && now - found->second < FlowRetention;
+    std::vector<GroupId> result;
+    for (const auto &[group, lastContact] : vanished_) {
+        if (now - lastContact < FlowRetention) {
+            result.push_back(group);
+        }
+    }
+    return result;
 }
 
 const KnownTarget *TargetDirectory::find(const PeerAddress &agent) const
--- a/src/relay/targetdirectory.h
+++ b/src/relay/targetdirectory.h
@@ -78,10 +78,10 @@
     std::vector<Peer> expire(Timestamp now);
 
     /**
-     * Returns true if a target of the group has expired, whose end nobody announced, while flows that it may hold are
+     * Returns the groups of which a target has expired, whose end nobody announced, while flows that it may hold are
      * not older than the maximum age of a flow.
      */
-    bool mayHaveVanished(Timestamp now, GroupId group) const;
+    std::vector<GroupId> vanishedGroups(Timestamp now) const;
 
     const KnownTarget *find(const PeerAddress &agent) const;
 
--- a/src/tests/flowfindertest.cpp
+++ b/src/tests/flowfindertest.cpp
@@ -408,4 +408,144 @@
     BOOST_TEST(output.toCallers.size() == 1u);
 }
 
+/** A service whose flows went to the second agent's group until a newer table gave them to that of the first. */
+struct MovedServiceFixture : RelayBalancerFixture {
+    /** Makes the balancer know both agents and the newer table; `knowsEarlierTable`: also the one before. */
+    void start(bool knowsEarlierTable)
+    {
+        balancer.onTable(now, relayTable(++version, knowsEarlierTable ? "desk-old" : "desk"), "test");
+        balancer.onStorePeers(now, {first, second}, LeaseHistory::Kept);
+        reportBoth();
+        if (knowsEarlierTable) {
+            passTime(61);
+        }
+        balancer.onTable(now, relayTable(++version), "test");
+        advance(800);
+        reportBoth();
+        output.clear();
+    }
+
+    void reportBoth()
+    {
+        report(first, ++sequence);
+        report(second, ++sequence, TargetState::Ready, "desk-old");
+    }
+
+    /** Advances the time while the agents send reports; the second one only if it is not silent. */
+    void passTime(int seconds, bool secondSilent = false)
+    {
+        for (int i = 0; i < seconds; ++i) {
+            advance(1000);
+            report(first, ++sequence);
+            if (!secondSilent) {
+                report(second, ++sequence, TargetState::Ready, "desk-old");
+            }
+        }
+    }
+
+    std::uint64_t version = 7;
+    std::uint64_t sequence = 0;
+};
+
+// Guards against the reset of open flows after a newer table gave their service another group (review/6): a balancer
+// that did not know the owner asked the agents of the new group only.
+BOOST_FIXTURE_TEST_CASE(balancerWithMovedServiceFindsFlowAtFormerGroup, MovedServiceFixture)
+{
+    for (const bool untracked : {false, true}) {
+        BOOST_TEST_CONTEXT("restarted agent " << untracked)
+        {
+            const RelayCaller user(untracked ? 40003 : 40002);
+            start(false);
+            balancer.onCallerPacket(now, user.data(1));
+            BOOST_TEST((listsRequested() == std::vector<PeerAddress> {first.address}));
+            sendList(first);
+            advance(60);
+            BOOST_TEST((listsRequested().back() == second.address));
+            sendList(second, untracked ? std::vector<FlowTuple>() : std::vector<FlowTuple> {user.flow}, untracked);
+            // A target that may hold flows without a record gets the packet itself.
+            const std::vector<PeerAddress> asked = untracked ? forwarded() : queried();
+            BOOST_TEST((asked == std::vector<PeerAddress> {second.address}));
+            answer(second, user, FlowPresence::Held);
+            BOOST_REQUIRE(!forwarded().empty());
+            BOOST_TEST((forwarded().back() == second.address));
+            BOOST_TEST(output.toCallers.empty());
+        }
+    }
+}
+
+// Guards against the same if the new group has no agent yet, or one that does not answer.
+BOOST_FIXTURE_TEST_CASE(balancerWithMovedServiceWithoutAnswerOfNewGroupFindsFlow, MovedServiceFixture)
+{
+    start(false);
+    leave(first, true);
+    balancer.onCallerPacket(now, caller.data(1));
+    sendList(second, {caller.flow});
+    BOOST_TEST((queried() == std::vector<PeerAddress> {second.address}));
+    answer(second, caller, FlowPresence::Held);
+    report(first, ++sequence);
+    advance(20);
+    output.clear();
+    const RelayCaller user(40002);
+    balancer.onCallerPacket(now, user.data(1));
+    advance(220);
+    balancer.onCallerPacket(now, user.data(1));
+    advance(60);
+    sendList(second, {user.flow});
+    BOOST_TEST((queried() == std::vector<PeerAddress> {second.address}));
+}
+
+// Guards against packets of living flows that reach targets of other groups while the flow's own agent is not known.
+BOOST_FIXTURE_TEST_CASE(balancerThatMissesAnAgentProbesNoOtherGroup, MovedServiceFixture)
+{
+    start(false);
+    const Peer third = relayPeer("agent-3", PeerRole::Agent, 13);
+    balancer.onStorePeers(now, {third}, LeaseHistory::Kept);
+    balancer.onCallerPacket(now, caller.data(1));
+    sendList(first);
+    advance(60);
+    sendList(second, {}, true);
+    advance(200);
+    BOOST_TEST(forwarded().empty());
+    BOOST_TEST(output.toCallers.empty());
+    report(third, 1);
+    advance(80);
+    sendList(third);
+    advance(80);
+    BOOST_TEST((forwarded() == std::vector<PeerAddress> {second.address}));
+}
+
+// Guards against callers of lost flows that get no reset, since the agents of all groups are asked.
+BOOST_FIXTURE_TEST_CASE(balancerWithFlowThatAllGroupsDenyResetsCaller, MovedServiceFixture)
+{
+    start(false);
+    balancer.onCallerPacket(now, caller.data(1));
+    sendList(first);
+    BOOST_TEST(output.toCallers.empty());
+    advance(60);
+    sendList(second);
+    advance(60);
+    BOOST_TEST(output.toCallers.size() == 1u);
+}
+
+// Guards against the reset of a flow whose agent in the former group is silent, also if the balancer knows the earlier
+// table, and against callers that wait for silent agents of groups which never had the service.
+BOOST_FIXTURE_TEST_CASE(balancerWithSilentAgentOfOtherGroupResetsOnlyFlowsItCannotHold, MovedServiceFixture)
+{
+    for (const bool knowsEarlierTable : {false, true}) {
+        start(knowsEarlierTable);
+        passTime(6, true);
+        balancer.onCallerPacket(now, caller.data(1));
+        answer(first, caller, FlowPresence::Absent);
+        advance(200);
+        BOOST_TEST(output.toCallers.empty());
+    }
+    // The last flow of the former group is over.
+    passTime(62);
+    passTime(6, true);
+    output.clear();
+    balancer.onCallerPacket(now, caller.data(1));
+    answer(first, caller, FlowPresence::Absent);
+    BOOST_TEST(output.toCallers.size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
