--- a/src/node/peerregistration.cpp
+++ b/src/node/peerregistration.cpp
@@ -116,9 +116,7 @@
         return errorOf(written);
     }
     registered_ = true;
-    entryWritten_ = now;
-    entryRevision_ = valueOf(written);
-    entrySettled_ = settled;
+    entry_ = {now, valueOf(written), settled};
     nextRenewal_ = now + RenewalInterval;
     nextRead_ = now;
     bypassCache_ = true;
@@ -158,17 +156,17 @@
 
 bool PeerRegistration::isSettlingDue(Timestamp now) const
 {
-    return self_.role == PeerRole::Balancer && registered_ && !entrySettled_
-        && now - entryWritten_ >= EntryRecoveryPeriod;
+    return self_.role == PeerRole::Balancer && registered_ && !entry_.settled
+        && now - entry_.written >= EntryRecoveryPeriod;
 }
 
 std::optional<Error> PeerRegistration::settleEntry(Timestamp now)
 {
     // The precondition prevents a late execution of the call after the entry was lost and written again.
-    const Outcome<Revision> written = writeEntry(true, entryRevision_);
+    const Outcome<Revision> written = writeEntry(true, entry_.revision);
     if (isOk(written)) {
-        entryRevision_ = valueOf(written);
-        entrySettled_ = true;
+        entry_.revision = valueOf(written);
+        entry_.settled = true;
         onLog_("entrySettled", key_);
         return std::nullopt;
     }
@@ -211,7 +209,7 @@
     const bool listed = findEntry(entries, self_.name) != entries.end();
     const bool settled =
         std::any_of(entries.begin(), entries.end(), [](const PeerEntry &entry) { return entry.settled; });
-    // Processes that were turned away as well may have to register for the first time.
+    // After a failed call, other processes may not have been able to register yet either.
     const bool kept = bypassCache_ && listed && settled && !failedBeforePeersRead_;
     peersRead_ = true;
     std::vector<Peer> peers;
--- a/src/node/peerregistration.h
+++ b/src/node/peerregistration.h
@@ -20,6 +20,9 @@
 /**
  * Keeps this process's entry in the store under a lease and reads the entries of its peers. Each step does the work
  * that is due and blocks during its store calls.
+ *
+ * The list of peers has gaps after an outage in which leases expired. Balancers therefore mark their entries as settled
+ * once they have stood for EntryRecoveryPeriod; a settled entry in a list proves that it has no such gaps.
  */
 class PeerRegistration
 {
@@ -45,12 +48,19 @@
     }
 
 private:
+    /** The current entry of this process. */
+    struct OwnEntry {
+        Timestamp written; ///< Time of the first write under the current lease.
+        Revision revision;
+        bool settled = false; ///< See wire::relay::Peer.
+    };
+
     std::optional<Error> registerSelf(Timestamp now);
     /** Looks for a settled entry of an earlier start, before the first entry of this start replaces it. */
     std::optional<Error> readEarlierEntry();
     /** Writes the entry under the current lease if the key has the revision `replaced`, or always without one. */
     Outcome<Revision> writeEntry(bool settled, std::optional<Revision> replaced);
-    /** Returns true if the entry must be marked as settled; see wire::relay::Peer. */
+    /** Returns true if the entry of a balancer has stood for so long that it must be marked as settled. */
     bool isSettlingDue(Timestamp now) const;
     std::optional<Error> settleEntry(Timestamp now);
     std::optional<Error> renewLease(Timestamp now);
@@ -68,10 +78,7 @@
     /** Revision of the settled entry of an earlier start, until this start tries to replace it. */
     std::optional<Revision> earlierEntry_;
     bool earlierEntryRead_ = false;
-    /** Time and revision of the current entry. */
-    Timestamp entryWritten_;
-    Revision entryRevision_;
-    bool entrySettled_ = false;
+    OwnEntry entry_;
     bool peersRead_ = false;
     /** A call has failed before the peers were first read. */
     bool failedBeforePeersRead_ = false;
--- a/src/relay/relayagent.cpp
+++ b/src/relay/relayagent.cpp
@@ -77,8 +77,7 @@
     }
     const Peer &sender = *peer;
     if (hello.leaving()) {
-        // The balancer may start again at once, without anyone else who knows this agent, so the reports go on. A
-        // balancer that has ended expires.
+        // The balancer may be restarted while no other process knows this agent, so it gets reports until it expires.
         return;
     }
     if (sender.role == PeerRole::Balancer && peers_.recordContact(now, sender)) {
