Do not keep lost flows undecided for agents of other groups whose targets never ran

Cause: a balancer that has just started counts all groups as possible former ones.

Change: of other groups, an agent that does not respond, or answers no list, counts only if its target ran as of its last message. Rounds of list requests are per agent now, so the agents of other groups are asked when the service's own have denied a flow and not a round later; each agent still gets one request in a round.

Test: balancerWithRemovedAgentOfTargetThatNeverRanResetsFlowsOfOtherGroups.

The wide search keeps this cost: a lost flow waits for the agents of all groups.

--- a/src/relay/flowfinder.cpp
+++ b/src/relay/flowfinder.cpp
@@ -3,6 +3,7 @@
 #include "relay/relayflow.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <string>
@@ -27,6 +28,12 @@
 // Agents of the service that run have answered by then, also if one message was lost.
 constexpr Milliseconds WideningDelay(200);
 
+template<typename Range, typename Condition>
+bool anyOf(const Range &range, Condition condition)
+{
+    return std::any_of(std::begin(range), std::end(range), condition);
+}
+
 std::string joinGroupNames(const RelayedService &service)
 {
     std::string result;
@@ -84,8 +91,11 @@
 {
     Targets result;
     for (const auto &[address, target] : context_.targets.all()) {
-        const bool answers = !context_.isSilent(now, target) && !index_.isUntracked(address);
-        if (!service.hasGroup(target.group) && (answers || history_.mayHoldFlows(now, service, target.group))) {
+        const bool responds = TargetDirectory::isReporting(now, target) && !index_.sendsNoLists(address);
+        const bool answersItself = responds && !index_.isUntracked(address);
+        const bool mayHoldFlow =
+            (responds || TargetDirectory::hasRun(target)) && history_.mayHoldFlows(now, service, target.group);
+        if (!service.hasGroup(target.group) && (answersItself || mayHoldFlow)) {
             result.push_back(&target);
         }
     }
@@ -270,6 +280,7 @@
             evaluate(now, *service, tuple, false);
         }
     }
+    sendListRequests(now);
 }
 
 std::optional<Timestamp> FlowFinder::completeAsOf(const Targets &targets) const
@@ -370,12 +381,16 @@
     }
     // An agent that is only silent, or has expired, may have left beside a target that still runs.
     const auto mayHoldFlows = [&](GroupId group) { return history_.mayHoldFlows(now, service, group); };
-    const std::vector<GroupId> vanished = context_.targets.vanishedGroups(now);
-    const std::map<PeerAddress, KnownTarget> &targets = context_.targets.all();
-    return std::none_of(vanished.begin(), vanished.end(), mayHoldFlows)
-        && std::none_of(targets.begin(), targets.end(), [&](const auto &entry) {
-               return context_.isSilent(now, entry.second) && mayHoldFlows(entry.second.group);
-           });
+    const bool anyVanished =
+        anyOf(service.groups,
+              [&](const WeightedGroup &group) { return context_.targets.mayHaveVanished(now, group.id); })
+        || anyOf(context_.targets.groupsOfVanishedTargets(now), mayHoldFlows);
+    return !anyVanished && !anyOf(context_.targets.all(), [&](const auto &entry) {
+        const KnownTarget &target = entry.second;
+        const bool mayHold =
+            service.hasGroup(target.group) || (TargetDirectory::hasRun(target) && mayHoldFlows(target.group));
+        return mayHold && context_.isSilent(now, target);
+    });
 }
 
 } // namespace rhubarblane
--- a/src/relay/flowindex.cpp
+++ b/src/relay/flowindex.cpp
@@ -78,22 +78,14 @@
             abandonRequest(agent);
         }
     }
-    if (now < nextRound_) {
-        return;
-    }
-    bool sent = false;
+    const Milliseconds interval = std::clamp(
+        Milliseconds(static_cast<std::int64_t>(agents) * RoundMsPerAgent), MinimumRoundInterval, MaximumRoundInterval);
     for (auto &[address, agent] : agents_) {
-        if (agent.wanted && !agent.request) {
+        if (agent.wanted && !agent.request && now >= agent.nextRound) {
             sendRequest(now, address, agent, send);
-            sent = true;
+            agent.nextRound = now + interval;
         }
     }
-    if (sent) {
-        nextRound_ = now
-            + std::clamp(Milliseconds(static_cast<std::int64_t>(agents) * RoundMsPerAgent),
-                         MinimumRoundInterval,
-                         MaximumRoundInterval);
-    }
 }
 
 void FlowIndex::sendRequest(Timestamp now, const PeerAddress &address, Agent &agent, const Sender &send)
--- a/src/relay/flowindex.h
+++ b/src/relay/flowindex.h
@@ -51,7 +51,7 @@
     /** Returns true if the agent's target may hold flows without a record, as after a restart of the agent. */
     bool isUntracked(const PeerAddress &agent) const;
 
-    /** Requests a list of the agent with the next round, unless one that was requested at `seen` or later is due. */
+    /** Requests a list of the agent with its next round, unless one that was requested at `seen` or later is due. */
     void request(const PeerAddress &agent, GroupId group, Timestamp seen);
 
     /** Sends the requests that are due; `agents` is the number of known agents. */
@@ -88,7 +88,8 @@
 
     struct Agent {
         GroupId group;
-        bool wanted = false; ///< A list is to be requested with the next round.
+        bool wanted = false; ///< A list is to be requested with the agent's next round.
+        Timestamp nextRound;
         std::optional<Request> request;
         int unanswered = 0; ///< Consecutive requests without a list.
         std::uint64_t list = 0;
@@ -103,7 +104,6 @@
     void abandonRequest(Agent &agent);
 
     std::map<PeerAddress, Agent> agents_;
-    Timestamp nextRound_;
     std::uint64_t lastRequest_ = 0;
     std::size_t outstanding_ = 0;
 };
--- a/src/relay/targetdirectory.cpp
+++ b/src/relay/targetdirectory.cpp
@@ -139,18 +139,28 @@
             continue;
         }
         expired.push_back(target->second.agent);
-        vanished_[target->second.group] = target->second.lastContact;
+        Vanished &vanished = vanished_[target->second.group];
+        vanished.lastContact = target->second.lastContact;
+        if (hasRun(target->second)) {
+            vanished.lastRun = target->second.lastContact;
+        }
         removeFromGroup(target->second);
         target = targets_.erase(target);
     }
     return expired;
 }
 
-std::vector<GroupId> TargetDirectory::vanishedGroups(Timestamp now) const
+bool TargetDirectory::mayHaveVanished(Timestamp now, GroupId group) const
+{
+    const auto found = vanished_.find(group);
+    return found != vanished_.end() && now - found->second.lastContact < FlowRetention;
+}
+
+std::vector<GroupId> TargetDirectory::groupsOfVanishedTargets(Timestamp now) const
 {
     std::vector<GroupId> result;
-    for (const auto &[group, lastContact] : vanished_) {
-        if (now - lastContact < FlowRetention) {
+    for (const auto &[group, vanished] : vanished_) {
+        if (vanished.lastRun && now - *vanished.lastRun < FlowRetention) {
             result.push_back(group);
         }
     }
@@ -178,7 +188,17 @@
 bool TargetDirectory::isUsable(Timestamp now, const KnownTarget &target)
 {
     const bool takesFlows = target.state == TargetState::Ready || target.state == TargetState::Ejected;
-    return takesFlows && !target.offerUnanswered && now - target.lastContact < target.reportInterval * MissedReports;
+    return takesFlows && !target.offerUnanswered && isReporting(now, target);
+}
+
+bool TargetDirectory::isReporting(Timestamp now, const KnownTarget &target)
+{
+    return now - target.lastContact < target.reportInterval * MissedReports;
+}
+
+bool TargetDirectory::hasRun(const KnownTarget &target)
+{
+    return target.state != TargetState::Unknown && target.state != TargetState::Gone;
 }
 
 } // namespace rhubarblane
--- a/src/relay/targetdirectory.h
+++ b/src/relay/targetdirectory.h
@@ -78,10 +78,13 @@
     std::vector<Peer> expire(Timestamp now);
 
     /**
-     * Returns the groups of which a target has expired, whose end nobody announced, while flows that it may hold are
+     * Returns true if a target of the group has expired, whose end nobody announced, while flows that it may hold are
      * not older than the maximum age of a flow.
      */
-    std::vector<GroupId> vanishedGroups(Timestamp now) const;
+    bool mayHaveVanished(Timestamp now, GroupId group) const;
+
+    /** Returns the groups for which mayHaveVanished() holds of a target that ran as of its agent's last message. */
+    std::vector<GroupId> groupsOfVanishedTargets(Timestamp now) const;
 
     const KnownTarget *find(const PeerAddress &agent) const;
 
@@ -91,6 +94,12 @@
     /** Returns true if the target can get new flows. Ejected targets are included; FlowPlacement limits their use. */
     static bool isUsable(Timestamp now, const KnownTarget &target);
 
+    /** Returns true if the agent's reports are not overdue. */
+    static bool isReporting(Timestamp now, const KnownTarget &target);
+
+    /** Returns true if the target ran as of its agent's last message; false also before the target's first report. */
+    static bool hasRun(const KnownTarget &target);
+
     std::size_t size() const
     {
         return targets_.size();
@@ -109,8 +118,12 @@
     std::set<std::string> evacuatedZones_;
     std::map<PeerAddress, KnownTarget> targets_;
     std::unordered_map<GroupId, std::vector<PeerAddress>> groups_;
-    /** Time of the last message of the target that expired last, by group. */
-    std::unordered_map<GroupId, Timestamp> vanished_;
+    struct Vanished {
+        Timestamp lastContact; ///< Time of the last message of the target that expired last.
+        std::optional<Timestamp> lastRun; ///< The same of the last one that ran.
+    };
+
+    std::unordered_map<GroupId, Vanished> vanished_;
 };
 
 } // namespace rhubarblane
--- a/src/tests/flowfindertest.cpp
+++ b/src/tests/flowfindertest.cpp
@@ -494,6 +494,26 @@
     BOOST_TEST((queried() == std::vector<PeerAddress> {second.address}));
 }
 
+// Guards against callers of lost flows that get no reset after a power failure, since an agent of another group came
+// back without its target and was removed: on lsgc-edge-grown, trouble-1, half of the lost flows were not reset.
+BOOST_FIXTURE_TEST_CASE(balancerWithRemovedAgentOfTargetThatNeverRanResetsFlowsOfOtherGroups, MovedServiceFixture)
+{
+    start(false);
+    report(second, ++sequence, TargetState::Unknown, "desk-old");
+    balancer.onCallerPacket(now, caller.data(1));
+    sendList(first);
+    advance(60);
+    // While the agent reports, it may have restarted beside the target and is asked.
+    BOOST_TEST((listsRequested().back() == second.address));
+    BOOST_TEST(output.toCallers.empty());
+    passTime(1, true);
+    BOOST_TEST(output.toCallers.size() == 1u);
+    passTime(16, true);
+    balancer.onCallerPacket(now, caller.data(1));
+    answer(first, caller, FlowPresence::Absent);
+    BOOST_TEST(output.toCallers.size() == 2u);
+}
+
 // Guards against packets of living flows that reach targets of other groups while the flow's own agent is not known.
 BOOST_FIXTURE_TEST_CASE(balancerThatMissesAnAgentProbesNoOtherGroup, MovedServiceFixture)
 {
