Wait for a restarting agent of a former group that does not know its target yet

Change: a balancer remembers that the target has run across starts of its agent, and forgets the unanswered requests of the earlier start.

Test: balancerWithRestartedAgentOfFormerGroupFindsFlow.

--- a/src/relay/flowfinder.cpp
+++ b/src/relay/flowfinder.cpp
@@ -93,8 +93,7 @@
     for (const auto &[address, target] : context_.targets.all()) {
         const bool responds = TargetDirectory::isReporting(now, target) && !index_.sendsNoLists(address);
         const bool answersItself = responds && !index_.isUntracked(address);
-        const bool mayHoldFlow =
-            (responds || TargetDirectory::hasRun(target)) && history_.mayHoldFlows(now, service, target.group);
+        const bool mayHoldFlow = (responds || target.hasRun) && history_.mayHoldFlows(now, service, target.group);
         if (!service.hasGroup(target.group) && (answersItself || mayHoldFlow)) {
             result.push_back(&target);
         }
@@ -387,8 +386,7 @@
         || anyOf(context_.targets.groupsOfVanishedTargets(now), mayHoldFlows);
     return !anyVanished && !anyOf(context_.targets.all(), [&](const auto &entry) {
         const KnownTarget &target = entry.second;
-        const bool mayHold =
-            service.hasGroup(target.group) || (TargetDirectory::hasRun(target) && mayHoldFlows(target.group));
+        const bool mayHold = service.hasGroup(target.group) || (target.hasRun && mayHoldFlows(target.group));
         return mayHold && context_.isSilent(now, target);
     });
 }
--- a/src/relay/flowfinder.h
+++ b/src/relay/flowfinder.h
@@ -34,6 +34,12 @@
         coverage_.noteStoreRead(now, leases);
     }
 
+    /** Records that an agent has started again, which answers requests that it left unanswered before. */
+    void noteAgentStart(const PeerAddress &agent)
+    {
+        index_.forget(agent);
+    }
+
     /** Records that `next` replaces `current`, which is a null pointer before the first table. */
     void noteTable(Timestamp now, const ServiceTable *current, const ServiceTable &next)
     {
--- a/src/relay/flowindex.cpp
+++ b/src/relay/flowindex.cpp
@@ -163,6 +163,15 @@
     }
 }
 
+void FlowIndex::forget(const PeerAddress &agent)
+{
+    const auto found = agents_.find(agent);
+    if (found != agents_.end()) {
+        abandonRequest(found->second);
+        agents_.erase(found);
+    }
+}
+
 void FlowIndex::retain(const std::function<bool(const PeerAddress &agent)> &isKnown)
 {
     for (auto agent = agents_.begin(); agent != agents_.end();) {
--- a/src/relay/flowindex.h
+++ b/src/relay/flowindex.h
@@ -66,6 +66,9 @@
     /** Removes a flow that the agent does not hold any more. */
     void erase(const PeerAddress &agent, FlowHash flow);
 
+    /** Removes what is known of an agent that has started again. */
+    void forget(const PeerAddress &agent);
+
     /** Removes the agents for which `isKnown` returns false. */
     void retain(const std::function<bool(const PeerAddress &agent)> &isKnown);
 
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -125,6 +125,10 @@
     if (!context_.peers.recordContact(now, *agent)) {
         return;
     }
+    const KnownTarget *known = context_.targets.find(from);
+    if (known != nullptr && known->agent.incarnation != agent->incarnation) {
+        finder_.noteAgentStart(from);
+    }
     if (context_.targets.report(now, *agent, report)) {
         const KnownTarget *target = context_.targets.find(from);
         context_.output.logDecision("targetKnown",
--- a/src/relay/targetdirectory.cpp
+++ b/src/relay/targetdirectory.cpp
@@ -76,6 +76,9 @@
     target.sequence = load.sequence();
     target.loadTime = now;
     target.state = stateOf(load);
+    if (target.state != TargetState::Unknown) {
+        target.hasRun = target.state != TargetState::Gone;
+    }
     target.slots = std::max<std::uint32_t>(1, load.slots());
     target.busy = load.busy();
     target.opening = load.opening();
@@ -141,7 +144,7 @@
         expired.push_back(target->second.agent);
         Vanished &vanished = vanished_[target->second.group];
         vanished.lastContact = target->second.lastContact;
-        if (hasRun(target->second)) {
+        if (target->second.hasRun) {
             vanished.lastRun = target->second.lastContact;
         }
         removeFromGroup(target->second);
@@ -196,9 +199,4 @@
     return now - target.lastContact < target.reportInterval * MissedReports;
 }
 
-bool TargetDirectory::hasRun(const KnownTarget &target)
-{
-    return target.state != TargetState::Unknown && target.state != TargetState::Gone;
-}
-
 } // namespace rhubarblane
--- a/src/relay/targetdirectory.h
+++ b/src/relay/targetdirectory.h
@@ -28,6 +28,8 @@
     bool evacuated = false;
 
     TargetState state = TargetState::Unknown;
+    /** The target has run, also beside an earlier start of the agent, and is not known to have ended. */
+    bool hasRun = false;
     std::uint64_t sequence = 0;
     std::uint32_t slots = 1;
     std::uint32_t busy = 0;
@@ -97,9 +99,6 @@
     /** Returns true if the agent's reports are not overdue. */
     static bool isReporting(Timestamp now, const KnownTarget &target);
 
-    /** Returns true if the target ran as of its agent's last message; false also before the target's first report. */
-    static bool hasRun(const KnownTarget &target);
-
     std::size_t size() const
     {
         return targets_.size();
--- a/src/tests/flowfindertest.cpp
+++ b/src/tests/flowfindertest.cpp
@@ -428,7 +428,7 @@
     void reportBoth()
     {
         report(first, ++sequence);
-        report(second, ++sequence, TargetState::Ready, "desk-old");
+        report(second, ++sequence, secondState, "desk-old");
     }
 
     /** Advances the time while the agents send reports; the second one only if it is not silent. */
@@ -438,11 +438,12 @@
             advance(1000);
             report(first, ++sequence);
             if (!secondSilent) {
-                report(second, ++sequence, TargetState::Ready, "desk-old");
+                report(second, ++sequence, secondState, "desk-old");
             }
         }
     }
 
+    TargetState secondState = TargetState::Ready;
     std::uint64_t version = 7;
     std::uint64_t sequence = 0;
 };
@@ -498,8 +499,8 @@
 // back without its target and was removed: on lsgc-edge-grown, trouble-1, half of the lost flows were not reset.
 BOOST_FIXTURE_TEST_CASE(balancerWithRemovedAgentOfTargetThatNeverRanResetsFlowsOfOtherGroups, MovedServiceFixture)
 {
+    secondState = TargetState::Unknown;
     start(false);
-    report(second, ++sequence, TargetState::Unknown, "desk-old");
     balancer.onCallerPacket(now, caller.data(1));
     sendList(first);
     advance(60);
@@ -514,6 +515,30 @@
     BOOST_TEST(output.toCallers.size() == 2u);
 }
 
+// Guards against the reset of a living flow whose agent in the former group restarts: it has not answered, and does not
+// know its target yet.
+BOOST_FIXTURE_TEST_CASE(balancerWithRestartedAgentOfFormerGroupFindsFlow, MovedServiceFixture)
+{
+    start(false);
+    balancer.onCallerPacket(now, caller.data(1));
+    sendList(first);
+    advance(800);
+    for (const std::int64_t silentMs : {700, 20}) {
+        ++second.incarnation;
+        report(second, 1, TargetState::Unknown, "desk-old");
+        output.clear();
+        balancer.onCallerPacket(now, caller.data(1));
+        advance(20);
+        sendList(first);
+        advance(silentMs);
+        BOOST_TEST(output.toCallers.empty());
+    }
+    BOOST_TEST((listsRequested().back() == second.address));
+    sendList(second, {}, true);
+    BOOST_TEST((forwarded() == std::vector<PeerAddress> {second.address}));
+    BOOST_TEST(output.toCallers.empty());
+}
+
 // Guards against packets of living flows that reach targets of other groups while the flow's own agent is not known.
 BOOST_FIXTURE_TEST_CASE(balancerThatMissesAnAgentProbesNoOtherGroup, MovedServiceFixture)
 {
