--- a/review/standins-3.h
+++ b/review/standins-3.h
@@ -276,6 +276,7 @@
     int status = 200;
     std::string body = "{}";
     bool silent = false; ///< No answer; the connection closes.
+    std::string header = {}; ///< A further line of the head.
 };
 
 inline std::string decodeUri(const std::string &text)
@@ -384,8 +385,8 @@
                 break;
             }
             const std::string text = "HTTP/1.1 " + std::to_string(response.status)
-                + " -\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(response.body.size())
-                + "\r\n\r\n" + response.body;
+                + " -\r\nContent-Type: application/json\r\n" + response.header
+                + "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n" + response.body;
             if (send(handle, text.data(), text.size(), MSG_NOSIGNAL) < 0) {
                 break;
             }
@@ -397,11 +398,19 @@
     int listener_ = -1;
 };
 
-/** Sends one request on a new connection. Returns the status, or 0 without an answer within `seconds`. */
+/**
+ * Sends one request on a new connection, from the address of the called machine. Returns the status, or 0 without an
+ * answer within `seconds`.
+ */
 inline int callHttp(const Address &to, const std::string &method, const std::string &path, const std::string &body,
                     double seconds)
 {
     const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in source = Address {to.ip, 0}.socketAddress();
+    if (bind(handle, reinterpret_cast<const sockaddr *>(&source), sizeof(source)) != 0) {
+        close(handle);
+        return 0;
+    }
     const sockaddr_in name = to.socketAddress();
     int status = 0;
     if (connect(handle, reinterpret_cast<const sockaddr *>(&name), sizeof(name)) == 0) {
@@ -432,7 +441,43 @@
                 expireLeases();
             }
         }).detach();
-        return server_.start(address, [this](const Request &request) { return handle(request); });
+        return server_.start(address, [this](const Request &request) {
+            Response response = handle(request);
+            response.header = "Store-Era: " + std::to_string(era_) + "\r\n";
+            return response;
+        });
+    }
+
+    /** Makes the copy from which `restore` starts again. */
+    void copy()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        copy_ = {items_, leases_, events_, revision_, lastLease_, now()};
+        record().line("store: copy at revision %llu", static_cast<unsigned long long>(revision_));
+    }
+    /** The store is away for `seconds` and comes back from the copy. */
+    void restore(double seconds)
+    {
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            away_ = true;
+            changed_.notify_all();
+            record().line("store: away at revision %llu", static_cast<unsigned long long>(revision_));
+        }
+        sleepFor(seconds);
+        const std::lock_guard<std::mutex> lock(mutex_);
+        items_ = copy_.items;
+        leases_ = copy_.leases;
+        events_ = copy_.events;
+        revision_ = copy_.revision;
+        lastLease_ = copy_.lastLease;
+        for (auto &[id, lease] : leases_) {
+            lease.until += now() - copy_.time;
+        }
+        ++era_;
+        away_ = false;
+        record().line("store: back from the copy, %.1f s old, at revision %llu", now() - copy_.time,
+                      static_cast<unsigned long long>(revision_));
     }
 
     /** A write of the operator. */
@@ -444,10 +489,14 @@
         record().line("operator writes %s, revision %llu", key.c_str(), static_cast<unsigned long long>(revision_));
     }
 
-    bool has(const std::string &key)
+    /** A deletion by the operator. */
+    void erase(const std::string &key)
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        return items_.count(key) > 0;
+        ++revision_;
+        remove(key);
+        changed_.notify_all();
+        record().line("operator deletes %s, revision %llu", key.c_str(), static_cast<unsigned long long>(revision_));
     }
 
 private:
@@ -537,6 +586,9 @@
     {
         sleepFor(0.004);
         std::unique_lock<std::mutex> lock(mutex_);
+        if (away_) {
+            return {503, "{}", true};
+        }
         const std::string path = request.path.substr(0, 13) == "/rhubarblane/" ? request.path.substr(13) : "";
         const auto query = [&](const char *name) {
             const auto found = request.query.find(name);
@@ -545,7 +597,7 @@
         const std::string at = "\"at_rev\":" + std::to_string(revision_);
         if (path == "kv-key") {
             const auto found = items_.find(query("key"));
-            return found == items_.end() ? Response {404} : Response {200, encode(found->first, found->second)};
+            return found == items_.end() ? Response {404, "{}"} : Response {200, encode(found->first, found->second)};
         }
         if (path == "kv-range") {
             std::string list;
@@ -559,7 +611,13 @@
         if (path == "kv-watch") {
             const std::uint64_t after = std::strtoull(query("after").c_str(), nullptr, 10);
             const double deadline = now() + std::atof(query("wait_ms").c_str()) / 1000;
-            for (;;) {
+            if (after > revision_) {
+                return {410};
+            }
+            for (const int era = era_;;) {
+                if (away_ || era != era_) {
+                    return {503, "{}", true}; // the watch is cut
+                }
                 std::string list;
                 for (const Event &event : events_) {
                     if (event.revision > after && event.key.compare(0, query("prefix").size(), query("prefix")) == 0) {
@@ -644,6 +702,15 @@
     std::vector<Event> events_;
     std::uint64_t revision_ = 100;
     std::uint64_t lastLease_ = 0;
+    struct Copy {
+        std::map<std::string, Item> items;
+        std::map<std::uint64_t, Lease> leases;
+        std::vector<Event> events;
+        std::uint64_t revision = 0, lastLease = 0;
+        double time = 0;
+    } copy_;
+    bool away_ = false;
+    std::atomic<int> era_ {1};
     HttpServer server_;
 };
 
@@ -745,10 +812,11 @@
 class Endpoint
 {
 public:
-    Endpoint(const Plan &plan, unsigned machine, std::string service, double heartbeat)
+    Endpoint(const Plan &plan, unsigned machine, std::string service, std::string zone, double heartbeat)
         : plan_(plan)
         , machine_(machine)
         , service_(std::move(service))
+        , zone_(std::move(zone))
         , heartbeat_(heartbeat)
     {
     }
@@ -897,7 +965,7 @@
                     nextReport_ = now() + heartbeat_;
                     path = "/rhubarblane/instances/" + id_;
                     body = "{\"service\":\"" + service_ + "\",\"address\":\"" + plan_.side(machine_, Plan::App).text()
-                        + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":2,\"state\":\"" + state_
+                        + "\",\"zone\":\"" + zone_ + "\",\"version\":\"v1\",\"slots\":2,\"state\":\"" + state_
                         + "\",\"cold_left_ms\":0,\"seq\":" + std::to_string(++sequence_)
                         + ",\"born\":" + std::to_string(born_) + "}";
                     boot = boots_;
@@ -1067,6 +1135,7 @@
     const Plan plan_;
     const unsigned machine_;
     const std::string service_;
+    const std::string zone_;
     const double heartbeat_;
     std::mutex mutex_;
     Udp udp_;
@@ -1187,9 +1256,12 @@
     static constexpr unsigned Clients = 8;
     static constexpr double Heartbeat = 1.2; ///< heartbeat_ms of the site.
 
-    Deployment(unsigned balancers, unsigned sides, std::string folder)
+    /** With two zones, the machines of each kind are placed in them by turns. `further` is added to all settings. */
+    Deployment(unsigned balancers, unsigned sides, std::string folder, unsigned zones = 1, std::string further = {})
         : plan(Plan::make())
         , folder_(std::move(folder))
+        , zones_(zones)
+        , further_(std::move(further))
     {
         for (unsigned i = 1; i <= balancers; ++i) {
             daemons.push_back(std::make_unique<Daemon>("balancer", "frontend-" + std::to_string(i), settings(true, i), folder_));
@@ -1198,10 +1270,15 @@
         for (unsigned i = 1; i <= sides; ++i) {
             daemons.push_back(std::make_unique<Daemon>("agent", "side-" + std::to_string(i), settings(false, i), folder_));
             agents_.push_back(daemons.back().get());
-            endpoints.push_back(std::make_unique<Endpoint>(plan, i, "desk", Heartbeat));
+            endpoints.push_back(std::make_unique<Endpoint>(plan, i, "desk", zoneOf(i), Heartbeat));
         }
     }
 
+    std::string zoneOf(unsigned number) const
+    {
+        return number % zones_ == 0 && zones_ > 1 ? "zone-b" : "zone-a";
+    }
+
     std::string settings(bool balancer, unsigned n) const
     {
         const auto address = [&](unsigned offset) {
@@ -1211,7 +1288,7 @@
         std::string text = "node_name=" + std::string(balancer ? "frontend-" : "side-") + std::to_string(n)
             + "\nrole=" + (balancer ? "balancer" : "agent") + "\nmachine_class=" + (balancer ? "frontend" : "side")
             + "\nserves=" + (balancer ? "frontend,control_plane" : "side") + "\nip=" + own.ipText()
-            + "\nzone=zone-a\nregion=region-a\nzones.zone-a=region-a\nlisten.data_addr=" + address(Plan::Data)
+            + "\nzone=" + zoneOf(n) + "\nregion=region-a\nzones.zone-a=region-a\nzones.zone-b=region-a\nlisten.data_addr=" + address(Plan::Data)
             + "\nlisten.ready=" + address(Plan::Ready) + "\nlisten.control=" + address(Plan::Control)
             + "\nport_range=" + std::to_string(plan.base + Plan::PeerRange) + "," + std::to_string(plan.base + 8)
             + "\nseeds=" + plan.balancer(1, Plan::Control).text() + "," + plan.balancer(2, Plan::Control).text()
@@ -1220,7 +1297,7 @@
             + "\nbounds.recovery_s=12\nbounds.flow_ms=2000\nbounds.max_flow_s=60\nhash=steady\ndeploy_mode=agent"
             + "\nplatform.address=" + plan.store().text() + "\nplatform.deploy_mode=kv\nplatform.writes_per_s=400"
             + "\nplatform.reads_per_s=2000\nplatform.history_s=20\nplatform.max_value_bytes=1048576"
-            + "\nplatform.min_ttl_ms=1000\n";
+            + "\nplatform.min_ttl_ms=1000\n" + further_;
         if (!balancer) {
             text += "listen.outbound=" + address(Plan::Outbound) + "\napp=" + address(Plan::App) + "\nservice=desk\n";
         }
@@ -1523,6 +1600,8 @@
     }
 
     std::string folder_;
+    const unsigned zones_;
+    const std::string further_;
     std::vector<Daemon *> balancers_, agents_;
     std::array<Udp, Clients> clients_;
     std::atomic<std::uint16_t> lastPort_ {40000};
