--- a/src/relay/evacuations.cpp
+++ b/src/relay/evacuations.cpp
@@ -72,4 +72,13 @@
     return changed;
 }
 
+bool Evacuations::noteIgnored(const EvacuatedZones &state)
+{
+    if (state.zones == state_.zones || (state.asOf == lastIgnored_.asOf && state.zones == lastIgnored_.zones)) {
+        return false;
+    }
+    lastIgnored_ = state;
+    return true;
+}
+
 } // namespace rhubarblane
--- a/src/relay/evacuations.h
+++ b/src/relay/evacuations.h
@@ -44,6 +44,12 @@
     /** Applies a state if it is later than the known one. Returns the zones whose state changed. */
     std::set<std::string> apply(Timestamp now, const EvacuatedZones &state);
 
+    /**
+     * Returns true if a state that apply() ignored has other zones than the known one. Returns true only once for the
+     * same state in succession, since peers repeat theirs.
+     */
+    bool noteIgnored(const EvacuatedZones &state);
+
     /** Returns false before the first state, when any zone may be evacuated. */
     bool isKnown() const
     {
@@ -68,6 +74,7 @@
 
 private:
     EvacuatedZones state_;
+    EvacuatedZones lastIgnored_;
     std::map<std::string, Timestamp> since_;
 };
 
--- a/src/relay/relaybalancer.cpp
+++ b/src/relay/relaybalancer.cpp
@@ -323,6 +323,14 @@
 {
     const Revision before = context_.evacuations.state().asOf;
     if (state.asOf <= before) {
+        if (context_.evacuations.noteIgnored(state)) {
+            context_.output.logDecision("evacuationIgnored",
+                                        {{"zones", joinNames(state.zones)},
+                                         {"asOf", std::to_string(state.asOf.value())},
+                                         {"known", joinNames(context_.evacuations.state().zones)},
+                                         {"knownAsOf", std::to_string(before.value())},
+                                         {"from", std::string(source)}});
+        }
         return;
     }
     const std::set<std::string> changed = context_.evacuations.apply(now, state);
--- a/src/tests/evacuationstest.cpp
+++ b/src/tests/evacuationstest.cpp
@@ -58,6 +58,16 @@
     BOOST_TEST(evacuations.since().count("a") == 0u);
 }
 
+// Guards against a fault that leaves no trace in the logs, and against a line for each repeated hello message.
+BOOST_AUTO_TEST_CASE(evacuationsWithIgnoredStateNoteItOnce)
+{
+    apply(9, {"a"});
+    BOOST_TEST(!evacuations.noteIgnored({Revision(5), {"a"}}));
+    BOOST_TEST(evacuations.noteIgnored({Revision(5), {}}));
+    BOOST_TEST(!evacuations.noteIgnored({Revision(5), {}}));
+    BOOST_TEST(evacuations.noteIgnored({Revision(6), {}}));
+}
+
 // Guards against a message of a faulty peer that stays in force forever or saturates links when it is passed on.
 BOOST_AUTO_TEST_CASE(evacuationsWithInvalidMessageAreRejected)
 {
