Read everything again if the store was restored since the last watch

What callers could see: a version or an evacuation acknowledged after a restore of the store is not in force at a balancer until something else changes, a check or another process tells it; with a silent watch after up to 25 s.

Cause: a watch continued from its revision. A restored store that has given that revision out again answers with the later changes only, so those below it are missed for good, and the state mixes two histories.

Change: ConfigStore::watch() starts from a position and fails with NotFound if the store has left its era; the watcher then reads everything, as after a compaction. Without a restore nothing changes in the calls.

--- a/src/control/configurationreader.cpp
+++ b/src/control/configurationreader.cpp
@@ -156,7 +156,7 @@
     // Writes through this balancer and replies of peers can be newer than the last change read from the store.
     const Revision from = std::max(nextWatchRevision_, Revision(known->snapshot.revision.value() + 1));
     const Outcome<std::vector<StoredChange>> changes =
-        store_.watch(configurationPrefix, from, settings_.renewalInterval);
+        store_.watch(configurationPrefix, {StoreEra(), from}, settings_.renewalInterval);
     if (!isOk(changes)) {
         if (errorOf(changes).code == ErrorCode::NotFound) {
             return false;
--- a/src/node/tablewatcher.cpp
+++ b/src/node/tablewatcher.cpp
@@ -97,7 +97,7 @@
 std::optional<Error> TableWatcher::waitForChange(View &view, Milliseconds wait)
 {
     const Outcome<std::vector<StoredChange>> changes =
-        store_.watch(prefix_, Revision(view.asOf.revision.value() + 1), wait);
+        store_.watch(prefix_, {view.asOf.era, Revision(view.asOf.revision.value() + 1)}, wait);
     if (!isOk(changes)) {
         return errorOf(changes);
     }
--- a/src/store/configstore.h
+++ b/src/store/configstore.h
@@ -75,12 +75,12 @@
     virtual Outcome<Revision> commit(const StoreTransaction &transaction) = 0;
 
     /**
-     * Waits up to `timeout` for changes below a prefix, from revision `from` on, and returns them in order of their
+     * Waits up to `timeout` for changes below a prefix, from position `from` on, and returns them in order of their
      * revisions; all changes of one revision are in the same result. Returns an empty list after the timeout. Fails
-     * with NotFound if the store no longer has the changes from that revision on.
+     * with NotFound if the store does not have the changes from that position on, also because it was restored since.
      */
     virtual Outcome<std::vector<StoredChange>>
-    watch(const std::string &prefix, Revision from, Milliseconds timeout) = 0;
+    watch(const std::string &prefix, StorePosition from, Milliseconds timeout) = 0;
 
     /** Makes current and all later watches fail immediately with Unavailable. Used to stop the process. */
     virtual void cancelWatches() = 0;
--- a/src/store/etcdstore.cpp
+++ b/src/store/etcdstore.cpp
@@ -114,7 +114,7 @@
     return Revision(decodeInteger(body.at("header"), "revision"));
 }
 
-Outcome<std::vector<StoredChange>> EtcdStore::watch(const std::string &prefix, Revision from, Milliseconds timeout)
+Outcome<std::vector<StoredChange>> EtcdStore::watch(const std::string &prefix, StorePosition from, Milliseconds timeout)
 {
     try {
         // The HTTP client's timeout applies to each read and must not end a watch before its own timeout.
@@ -124,7 +124,7 @@
         if (entry.isCancelled()) {
             return Error {ErrorCode::Unavailable, {}, "watches are cancelled"};
         }
-        web::http::http_request request = makeRequest("/v3/watch", encodeWatch(prefix, from));
+        web::http::http_request request = makeRequest("/v3/watch", encodeWatch(prefix, from.revision));
         request.headers().add("Connection", "close");
         pplx::task<Outcome<std::vector<StoredChange>>> task =
             client->request(request, cancel.get_token()).then([client](const web::http::http_response &response) {
--- a/src/store/etcdstore.h
+++ b/src/store/etcdstore.h
@@ -23,7 +23,8 @@
 
     Outcome<StoredRange> range(const std::string &prefix) override;
     Outcome<Revision> commit(const StoreTransaction &transaction) override;
-    Outcome<std::vector<StoredChange>> watch(const std::string &prefix, Revision from, Milliseconds timeout) override;
+    Outcome<std::vector<StoredChange>>
+    watch(const std::string &prefix, StorePosition from, Milliseconds timeout) override;
     void cancelWatches() override;
     /** Allows watches again after cancelWatches(). */
     void allowWatches();
--- a/src/store/storecall.cpp
+++ b/src/store/storecall.cpp
@@ -54,12 +54,14 @@
     }
 }
 
-CancellableCalls::Registration::Registration(CancellableCalls &calls, const pplx::cancellation_token_source &cancel)
+CancellableCalls::Registration::Registration(CancellableCalls &calls,
+                                             const pplx::cancellation_token_source &cancel,
+                                             StoreEra era)
     : calls_(calls)
 {
     const std::lock_guard<std::mutex> lock(calls_.mutex_);
     cancelled_ = calls_.cancelled_;
-    position_ = calls_.calls_.insert(calls_.calls_.end(), cancel);
+    position_ = calls_.calls_.insert(calls_.calls_.end(), {cancel, era});
 }
 
 CancellableCalls::Registration::~Registration()
@@ -72,8 +74,18 @@
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     cancelled_ = true;
-    for (const pplx::cancellation_token_source &call : calls_) {
-        call.cancel();
+    for (const Call &call : calls_) {
+        call.cancel.cancel();
+    }
+}
+
+void CancellableCalls::cancelOtherEras(StoreEra era)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const Call &call : calls_) {
+        if (call.era != era) {
+            call.cancel.cancel();
+        }
     }
 }
 
--- a/src/store/storecall.h
+++ b/src/store/storecall.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/outcome.h"
+#include "base/storeposition.h"
 
 #include <cpprest/http_client.h>
 #include <cpprest/json.h>
@@ -72,12 +73,18 @@
  */
 class CancellableCalls
 {
+    struct Call {
+        pplx::cancellation_token_source cancel;
+        StoreEra era;
+    };
+
 public:
     /** Registers a call for the lifetime of the object. */
     class Registration
     {
     public:
-        Registration(CancellableCalls &calls, const pplx::cancellation_token_source &cancel);
+        /** `era` is that of the state in which the call waits for changes. */
+        Registration(CancellableCalls &calls, const pplx::cancellation_token_source &cancel, StoreEra era = StoreEra());
         ~Registration();
         Registration(const Registration &) = delete;
         Registration &operator=(const Registration &) = delete;
@@ -89,7 +96,7 @@
 
     private:
         CancellableCalls &calls_;
-        std::list<pplx::cancellation_token_source>::iterator position_;
+        std::list<Call>::iterator position_;
         bool cancelled_ = false;
     };
 
@@ -97,9 +104,12 @@
     void cancel();
     void allow();
 
+    /** Cancels the registered calls of other eras; later ones are not affected. */
+    void cancelOtherEras(StoreEra era);
+
 private:
     std::mutex mutex_;
-    std::list<pplx::cancellation_token_source> calls_;
+    std::list<Call> calls_;
     bool cancelled_ = false;
 };
 
--- a/src/tests/etcdtest.cpp
+++ b/src/tests/etcdtest.cpp
@@ -99,12 +99,13 @@
 {
     EtcdStore store(url, Milliseconds(5000));
     const Revision first = valueOf(store.commit(put("1", Revision())));
-    const auto past = store.watch("/k/", first, Milliseconds(5000));
+    const auto past = store.watch("/k/", {StoreEra(), first}, Milliseconds(5000));
     BOOST_REQUIRE(isOk(past));
     BOOST_REQUIRE(valueOf(past).size() == 1U);
 
-    auto coming = std::async(std::launch::async,
-                             [&] { return store.watch("/k/", Revision(first.value() + 1), Milliseconds(20000)); });
+    auto coming = std::async(std::launch::async, [&] {
+        return store.watch("/k/", {StoreEra(), Revision(first.value() + 1)}, Milliseconds(20000));
+    });
     const Revision second = valueOf(store.commit(put("2", first)));
     const auto changes = coming.get();
     BOOST_REQUIRE(isOk(changes));
@@ -120,15 +121,16 @@
     EtcdStore store(url, Milliseconds(5000));
     const Revision first = valueOf(store.commit(put("1", Revision())));
     setFaults(R"({"compact": true})");
-    BOOST_TEST((errorOf(store.watch("/k/", first, Milliseconds(5000))).code == ErrorCode::NotFound));
+    BOOST_TEST((errorOf(store.watch("/k/", {StoreEra(), first}, Milliseconds(5000))).code == ErrorCode::NotFound));
 }
 
 // Guards against a shutdown that is blocked until the timeout of a watch.
 BOOST_AUTO_TEST_CASE(etcdStoreWatchEndsWhenCancelled)
 {
     EtcdStore store(url, Milliseconds(5000));
-    auto waiting =
-        std::async(std::launch::async, [&] { return store.watch("/k/", Revision(2), Milliseconds(600000)); });
+    auto waiting = std::async(std::launch::async, [&] {
+        return store.watch("/k/", {StoreEra(), Revision(2)}, Milliseconds(600000));
+    });
     while (count("/v3/watch") == 0) { }
     store.cancelWatches();
     BOOST_TEST((errorOf(waiting.get()).code == ErrorCode::Unavailable));
--- a/src/tests/fakeconfigstore.h
+++ b/src/tests/fakeconfigstore.h
@@ -73,7 +73,8 @@
         return result;
     }
 
-    Outcome<std::vector<StoredChange>> watch(const std::string &prefix, Revision from, Milliseconds timeout) override
+    Outcome<std::vector<StoredChange>>
+    watch(const std::string &prefix, StorePosition from, Milliseconds timeout) override
     {
         if (!available) {
             return unavailable();
@@ -81,7 +82,10 @@
         if (onWatch) {
             std::exchange(onWatch, nullptr)();
         }
-        return table.changes(prefix, end(prefix), from);
+        if (from.era != era) {
+            return Error {ErrorCode::NotFound, {}, "the store was restored"};
+        }
+        return table.changes(prefix, end(prefix), from.revision);
     }
 
     void cancelWatches() override
--- a/src/tests/tablewatchertest.cpp
+++ b/src/tests/tablewatchertest.cpp
@@ -204,6 +204,32 @@
     BOOST_TEST(lastEvacuations() == "a,b 4");
 }
 
+// Guards against a table or an evacuation of a restored store that stays unknown because the watch, or the check,
+// continues from its revision, and against an evacuation of the store before that stays in force.
+BOOST_AUTO_TEST_CASE(watcherAfterRestoreOfStoreReadsAllAnew)
+{
+    write("7");
+    const StoreTable backup = store.table;
+    for (const std::uint64_t era : {1, 2}) {
+        setEvacuation("a", "{}");
+        evacuationWatcher.step();
+        BOOST_TEST(evacuationWatcher.check());
+        store.restore(backup);
+        setEvacuation("b", "{}");
+        write(std::to_string(7 + era));
+        BOOST_TEST(evacuationWatcher.check());
+        BOOST_TEST(versions.back() == 7 + era);
+        BOOST_TEST(joinNames(evacuations.back().zones) == "b");
+        BOOST_TEST(evacuations.back().asOf.era.value() == era);
+        const std::size_t published = evacuations.size();
+        evacuationWatcher.step();
+        evacuationWatcher.step();
+        BOOST_TEST(joinNames(evacuations.back().zones) == "b");
+        BOOST_TEST(evacuations.size() > published);
+    }
+    BOOST_TEST(!logged("storeLost"));
+}
+
 // Guards against input errors of operators that evacuate a zone, stop the watch or fill the log.
 BOOST_AUTO_TEST_CASE(watcherWithInvalidEvacuationsLogsEachOnceAndEvacuatesOtherZones)
 {
