Tell leases of a restored store from those before the restore

What callers could see: after a restore of the store a process without an entry renews another process's lease and takes it for its own, and a process that stops ends the entry of another one; processes that start meanwhile do not learn of living balancers and agents.

Cause: leases were renewed and revoked by their ids alone, which a restored store gives out again.

Change: a lease carries the era of its grant. A renewal that is answered in another era, or is due after any answer has shown one, fails with NotFound, so the process gets a new lease and writes its entry again. The entry is also written again if the store was restored between the grant and the write. A process that stops deletes its own key at its known revision in place of revoking the lease, and revokes it only if that fails and the era is still the same. One write, as before.

--- a/src/control/configurationreader.cpp
+++ b/src/control/configurationreader.cpp
@@ -64,7 +64,7 @@
     if (error.code == ErrorCode::NotFound) {
         // The lease has expired; another balancer may already be the reader.
         isReader_ = false;
-        lease_ = LeaseId();
+        lease_ = GrantedLease();
     }
     return backoff_.next();
 }
@@ -78,7 +78,7 @@
     if (valueOf(holder).values.empty()) {
         return acquireReaderKey(now);
     }
-    if (valueOf(holder).values.front().value == settings_.identity && lease_ != LeaseId()) {
+    if (valueOf(holder).values.front().value == settings_.identity && lease_.id != LeaseId()) {
         // An earlier transaction took effect although its response was lost.
         isReader_ = true;
         lastRenewal_ = Timestamp(0);
@@ -91,15 +91,15 @@
 
 Milliseconds ConfigurationReader::acquireReaderKey(Timestamp now)
 {
-    if (lease_ == LeaseId()) {
-        const Outcome<LeaseId> lease = store_.grantLease(settings_.leaseDuration);
+    if (lease_.id == LeaseId()) {
+        const Outcome<GrantedLease> lease = store_.grantLease(settings_.leaseDuration);
         if (!isOk(lease)) {
             return failed(errorOf(lease));
         }
         lease_ = valueOf(lease);
     }
-    const Outcome<Revision> taken =
-        store_.commit({{{readerKey(), Revision()}}, {{readerKey(), settings_.identity, lease_}}});
+    const Outcome<StorePosition> taken =
+        store_.commit({{{readerKey(), Revision()}}, {{readerKey(), settings_.identity, lease_.id}}});
     if (isOk(taken)) {
         backoff_.reset();
         isReader_ = true;
@@ -109,7 +109,7 @@
     }
     if (errorOf(taken).code == ErrorCode::Conflict) {
         // Another candidate holds the key. The unused lease expires by itself.
-        lease_ = LeaseId();
+        lease_ = GrantedLease();
         return backoff_.jitter(settings_.candidatePollInterval);
     }
     return failed(errorOf(taken));
@@ -181,7 +181,7 @@
         store_.revokeLease(lease_);
     }
     isReader_ = false;
-    lease_ = LeaseId();
+    lease_ = GrantedLease();
 }
 
 } // namespace rhubarblane
--- a/src/control/configurationreader.h
+++ b/src/control/configurationreader.h
@@ -69,7 +69,7 @@
     std::function<bool()> isCandidate_;
     Backoff backoff_;
     bool isReader_ = false;
-    LeaseId lease_;
+    GrantedLease lease_;
     Timestamp lastRenewal_;
     bool needsFullRead_ = true;
     /** The next watch starts at this store revision; all earlier changes have been applied. */
--- a/src/control/configurationwriter.cpp
+++ b/src/control/configurationwriter.cpp
@@ -124,9 +124,9 @@
     transaction.compares = {{configurationVersionKey, expected}, {write.key, modifiedOf(known->snapshot, write.key)}};
     transaction.writes = {{configurationVersionKey, formatRecordedWrites(writes), {}},
                           {write.key, valueOf(plan).value, {}}};
-    const Outcome<Revision> committed = store_->commit(transaction);
+    const Outcome<StorePosition> committed = store_->commit(transaction);
     if (isOk(committed)) {
-        return {applyCommitted(*known, transaction, valueOf(committed))};
+        return {applyCommitted(*known, transaction, valueOf(committed).revision)};
     }
     switch (errorOf(committed).code) {
     case ErrorCode::Conflict:
@@ -165,9 +165,9 @@
         // The transaction may still reach the store. If it is sent again, only one of the two can take effect,
         // because the first one changes the revision that both compare.
         const std::shared_ptr<const KnownConfiguration> known = core_.current();
-        const Outcome<Revision> committed = store_->commit(transaction);
+        const Outcome<StorePosition> committed = store_->commit(transaction);
         if (isOk(committed)) {
-            return {applyCommitted(*known, transaction, valueOf(committed))};
+            return {applyCommitted(*known, transaction, valueOf(committed).revision)};
         }
     }
     return {Error {ErrorCode::Unknown, {}, "outcome unknown: the store gave no answer to the write"}};
--- a/src/node/peerregistration.cpp
+++ b/src/node/peerregistration.cpp
@@ -93,8 +93,8 @@
     if (std::optional<Error> error = readEarlierEntry()) {
         return error;
     }
-    if (lease_ == LeaseId()) {
-        Outcome<LeaseId> lease = store_.grantLease(LeaseDuration);
+    if (lease_.id == LeaseId()) {
+        Outcome<GrantedLease> lease = store_.grantLease(LeaseDuration);
         if (!isOk(lease)) {
             return errorOf(lease);
         }
@@ -104,17 +104,22 @@
     // precondition, because only this process writes the key and repeating the write is idempotent.
     const std::optional<Revision> earlier = std::exchange(earlierEntry_, std::nullopt);
     bool settled = earlier.has_value();
-    Outcome<Revision> written = writeEntry(settled, earlier);
+    Outcome<StorePosition> written = writeEntry(settled, earlier);
     if (!isOk(written) && errorOf(written).code == ErrorCode::Conflict) {
         settled = false;
         written = writeEntry(settled, std::nullopt);
     }
     if (!isOk(written)) {
         if (errorOf(written).code == ErrorCode::NotFound) {
-            lease_ = LeaseId();
+            lease_ = GrantedLease();
         }
         return errorOf(written);
     }
+    if (valueOf(written).era != lease_.era) {
+        // The lease was lost in between, and its id may be that of a lease of another process.
+        lease_ = GrantedLease();
+        return Error {ErrorCode::NotFound, {}, "the store was restored since it granted the lease"};
+    }
     registered_ = true;
     entry_ = {now, valueOf(written), settled};
     nextRenewal_ = now + RenewalInterval;
@@ -143,11 +148,11 @@
     return std::nullopt;
 }
 
-Outcome<Revision> PeerRegistration::writeEntry(bool settled, std::optional<Revision> replaced)
+Outcome<StorePosition> PeerRegistration::writeEntry(bool settled, std::optional<Revision> replaced)
 {
     wire::relay::Peer entry = toWire(self_);
     entry.set_settled(settled);
-    StoreTransaction transaction {{}, {StoreWrite {key_, entry.SerializeAsString(), lease_}}};
+    StoreTransaction transaction {{}, {StoreWrite {key_, entry.SerializeAsString(), lease_.id}}};
     if (replaced) {
         transaction.compares.push_back({key_, *replaced});
     }
@@ -163,20 +168,21 @@
 std::optional<Error> PeerRegistration::settleEntry(Timestamp now)
 {
     // The precondition prevents a late execution of the call after the entry was lost and written again.
-    const Outcome<Revision> written = writeEntry(true, entry_.revision);
-    if (isOk(written)) {
-        entry_.revision = valueOf(written);
+    const Outcome<StorePosition> written = writeEntry(true, entry_.position.revision);
+    if (isOk(written) && valueOf(written).era == lease_.era) {
+        entry_.position = valueOf(written);
         entry_.settled = true;
         onLog_("entrySettled", key_);
         return std::nullopt;
     }
-    const ErrorCode code = errorOf(written).code;
+    // In a restored store, the entry of the backup can have the same revision.
+    const ErrorCode code = isOk(written) ? ErrorCode::NotFound : errorOf(written).code;
     if (code != ErrorCode::Conflict && code != ErrorCode::NotFound) {
         return errorOf(written);
     }
     // The entry was lost, or an earlier call took effect without an answer.
     if (code == ErrorCode::NotFound) {
-        lease_ = LeaseId();
+        lease_ = GrantedLease();
     }
     registered_ = false;
     return registerSelf(now);
@@ -191,7 +197,7 @@
     }
     if (error->code == ErrorCode::NotFound) {
         onLog_("leaseExpired", key_);
-        lease_ = LeaseId();
+        lease_ = GrantedLease();
         registered_ = false;
         return registerSelf(now);
     }
@@ -221,7 +227,7 @@
         nextRead_ = now + ReadInterval;
     } else if (bypassCache_) {
         onLog_("entryLost", key_);
-        lease_ = LeaseId();
+        lease_ = GrantedLease();
         registered_ = false;
     } else {
         // The cached response may be older than the entry.
@@ -232,16 +238,39 @@
 
 void PeerRegistration::withdraw()
 {
-    if (lease_ == LeaseId()) {
+    if (lease_.id == LeaseId()) {
         return;
     }
-    if (const std::optional<Error> error = store_.revokeLease(lease_)) {
+    std::optional<Error> error;
+    if (registered_) {
+        error = deleteEntry();
+    } else {
+        // A write without an answer may have taken effect, at an unknown revision.
+        error = store_.revokeLease(lease_);
+    }
+    if (error) {
         onLog_("entryNotWithdrawn", error->message);
     }
-    lease_ = LeaseId();
+    lease_ = GrantedLease();
     registered_ = false;
 }
 
+std::optional<Error> PeerRegistration::deleteEntry()
+{
+    // In a restored store the id of the lease may be that of another process's lease, but no other process's entry has
+    // the own key.
+    const Outcome<StorePosition> deleted =
+        store_.commit({{{key_, entry_.position.revision}}, {{key_, std::nullopt, LeaseId()}}});
+    if (isOk(deleted)) {
+        return std::nullopt;
+    }
+    if (errorOf(deleted).code == ErrorCode::Conflict) {
+        // A write without an answer took effect, or the store was restored, which this answer has shown.
+        return store_.revokeLease(lease_);
+    }
+    return errorOf(deleted);
+}
+
 void PeerRegistration::updateStoreAvailability(const std::optional<Error> &error)
 {
     if (error && storeAvailable_) {
--- a/src/node/peerregistration.h
+++ b/src/node/peerregistration.h
@@ -37,7 +37,7 @@
     Milliseconds step(Timestamp now);
 
     /**
-     * Revokes the lease at the end of the process, so that balancers do not wait for reports of this process. Makes a
+     * Removes the entry at the end of the process, so that balancers do not wait for reports of this process. Makes a
      * single attempt.
      */
     void withdraw();
@@ -51,7 +51,7 @@
     /** The current entry of this process. */
     struct OwnEntry {
         Timestamp written; ///< Time of the first write under the current lease.
-        Revision revision;
+        StorePosition position;
         bool settled = false; ///< See wire::relay::Peer.
     };
 
@@ -59,12 +59,13 @@
     /** Looks for a settled entry of an earlier start, before the first entry of this start replaces it. */
     std::optional<Error> readEarlierEntry();
     /** Writes the entry under the current lease if the key has the revision `replaced`, or always without one. */
-    Outcome<Revision> writeEntry(bool settled, std::optional<Revision> replaced);
+    Outcome<StorePosition> writeEntry(bool settled, std::optional<Revision> replaced);
     /** Returns true if the entry of a balancer has stood for so long that it must be marked as settled. */
     bool isSettlingDue(Timestamp now) const;
     std::optional<Error> settleEntry(Timestamp now);
     std::optional<Error> renewLease(Timestamp now);
     std::optional<Error> readPeers(Timestamp now);
+    std::optional<Error> deleteEntry();
     void updateStoreAvailability(const std::optional<Error> &error);
 
     ConfigStore &store_;
@@ -72,7 +73,7 @@
     PeersHandler onPeers_;
     LogHandler onLog_;
     std::string key_;
-    LeaseId lease_;
+    GrantedLease lease_;
     bool registered_ = false;
     bool storeAvailable_ = true;
     /** Revision of the settled entry of an earlier start, until this start tries to replace it. */
--- a/src/store/configstore.h
+++ b/src/store/configstore.h
@@ -15,6 +15,12 @@
 
 using LeaseId = StrongId<struct LeaseTag>;
 
+/** A lease of one era of the store. A restored store may give out the same id again for another lease. */
+struct GrantedLease {
+    StoreEra era;
+    LeaseId id;
+};
+
 /** One key of the store with its value. */
 struct StoredValue {
     std::string key;
@@ -71,8 +77,8 @@
         return range(prefix);
     }
 
-    /** Returns the revision of the transaction. */
-    virtual Outcome<Revision> commit(const StoreTransaction &transaction) = 0;
+    /** Returns the position of the transaction. */
+    virtual Outcome<StorePosition> commit(const StoreTransaction &transaction) = 0;
 
     /**
      * Waits up to `timeout` for changes below a prefix, from position `from` on, and returns them in order of their
@@ -85,13 +91,16 @@
     /** Makes current and all later watches fail immediately with Unavailable. Used to stop the process. */
     virtual void cancelWatches() = 0;
 
-    virtual Outcome<LeaseId> grantLease(Milliseconds duration) = 0;
+    virtual Outcome<GrantedLease> grantLease(Milliseconds duration) = 0;
 
-    /** Renews the lease. Fails with NotFound if it has expired. */
-    virtual std::optional<Error> keepLeaseAlive(LeaseId lease) = 0;
+    /** Renews the lease. Fails with NotFound if it has expired, or if the store was restored since its grant. */
+    virtual std::optional<Error> keepLeaseAlive(GrantedLease lease) = 0;
 
-    /** Revokes the lease, which deletes the keys that were put with it. */
-    virtual std::optional<Error> revokeLease(LeaseId lease) = 0;
+    /**
+     * Revokes the lease, which deletes the keys that were put with it. Does nothing if an answer has shown that the
+     * store was restored since the grant.
+     */
+    virtual std::optional<Error> revokeLease(GrantedLease lease) = 0;
 };
 
 } // namespace rhubarblane
--- a/src/store/etcdstore.cpp
+++ b/src/store/etcdstore.cpp
@@ -98,7 +98,7 @@
     }
 }
 
-Outcome<Revision> EtcdStore::commit(const StoreTransaction &transaction)
+Outcome<StorePosition> EtcdStore::commit(const StoreTransaction &transaction)
 {
     const Outcome<value> answer = call("/v3/kv/txn", encodeTransaction(transaction), Effect::Write);
     if (!isOk(answer)) {
@@ -111,7 +111,7 @@
     if (!body.has_field("succeeded") || !body.at("succeeded").is_boolean() || !body.at("succeeded").as_bool()) {
         return Error {ErrorCode::Conflict, {}, "the key was changed by another writer"};
     }
-    return Revision(decodeInteger(body.at("header"), "revision"));
+    return StorePosition {StoreEra(), Revision(decodeInteger(body.at("header"), "revision"))};
 }
 
 Outcome<std::vector<StoredChange>> EtcdStore::watch(const std::string &prefix, StorePosition from, Milliseconds timeout)
@@ -155,7 +155,7 @@
     watches_.allow();
 }
 
-Outcome<LeaseId> EtcdStore::grantLease(Milliseconds duration)
+Outcome<GrantedLease> EtcdStore::grantLease(Milliseconds duration)
 {
     value request = value::object();
     // The TTL of a lease is in whole seconds.
@@ -168,13 +168,13 @@
     if (lease == LeaseId()) {
         return Error {ErrorCode::Unknown, {}, "bad answer from the store: no lease id"};
     }
-    return lease;
+    return GrantedLease {StoreEra(), lease};
 }
 
-std::optional<Error> EtcdStore::keepLeaseAlive(LeaseId lease)
+std::optional<Error> EtcdStore::keepLeaseAlive(GrantedLease lease)
 {
     value request = value::object();
-    request["ID"] = encodeInteger(lease.value());
+    request["ID"] = encodeInteger(lease.id.value());
     const Outcome<value> answer = call("/v3/lease/keepalive", request, Effect::Write);
     if (!isOk(answer)) {
         return errorOf(answer);
@@ -186,10 +186,10 @@
     return std::nullopt;
 }
 
-std::optional<Error> EtcdStore::revokeLease(LeaseId lease)
+std::optional<Error> EtcdStore::revokeLease(GrantedLease lease)
 {
     value request = value::object();
-    request["ID"] = encodeInteger(lease.value());
+    request["ID"] = encodeInteger(lease.id.value());
     const Outcome<value> answer = call("/v3/lease/revoke", request, Effect::Write);
     return isOk(answer) ? std::nullopt : std::optional<Error>(errorOf(answer));
 }
--- a/src/store/etcdstore.h
+++ b/src/store/etcdstore.h
@@ -22,15 +22,15 @@
     EtcdStore(std::string url, Milliseconds timeout);
 
     Outcome<StoredRange> range(const std::string &prefix) override;
-    Outcome<Revision> commit(const StoreTransaction &transaction) override;
+    Outcome<StorePosition> commit(const StoreTransaction &transaction) override;
     Outcome<std::vector<StoredChange>>
     watch(const std::string &prefix, StorePosition from, Milliseconds timeout) override;
     void cancelWatches() override;
     /** Allows watches again after cancelWatches(). */
     void allowWatches();
-    Outcome<LeaseId> grantLease(Milliseconds duration) override;
-    std::optional<Error> keepLeaseAlive(LeaseId lease) override;
-    std::optional<Error> revokeLease(LeaseId lease) override;
+    Outcome<GrantedLease> grantLease(Milliseconds duration) override;
+    std::optional<Error> keepLeaseAlive(GrantedLease lease) override;
+    std::optional<Error> revokeLease(GrantedLease lease) override;
 
 private:
     enum class Effect {
--- a/src/tests/etcdtest.cpp
+++ b/src/tests/etcdtest.cpp
@@ -54,13 +54,13 @@
 {
     EtcdStore store(url, Milliseconds(5000));
     const std::string bytes("\0\xff\"\n", 4);
-    const Outcome<Revision> written = store.commit(put(bytes, Revision()));
+    const Outcome<StorePosition> written = store.commit(put(bytes, Revision()));
     BOOST_REQUIRE(isOk(written));
     const Outcome<StoredRange> range = store.range("/k/");
     BOOST_REQUIRE(isOk(range));
     BOOST_REQUIRE(valueOf(range).values.size() == 1U);
     BOOST_TEST(valueOf(range).values[0].value == bytes);
-    BOOST_TEST((valueOf(range).values[0].modified == valueOf(written)));
+    BOOST_TEST((valueOf(range).values[0].modified == valueOf(written).revision));
     BOOST_TEST((errorOf(store.commit(put("x", Revision()))).code == ErrorCode::Conflict));
 }
 
@@ -98,7 +98,7 @@
 BOOST_AUTO_TEST_CASE(etcdStoreWatchReturnsPastAndComingChanges)
 {
     EtcdStore store(url, Milliseconds(5000));
-    const Revision first = valueOf(store.commit(put("1", Revision())));
+    const Revision first = valueOf(store.commit(put("1", Revision()))).revision;
     const auto past = store.watch("/k/", {StoreEra(), first}, Milliseconds(5000));
     BOOST_REQUIRE(isOk(past));
     BOOST_REQUIRE(valueOf(past).size() == 1U);
@@ -106,7 +106,7 @@
     auto coming = std::async(std::launch::async, [&] {
         return store.watch("/k/", {StoreEra(), Revision(first.value() + 1)}, Milliseconds(20000));
     });
-    const Revision second = valueOf(store.commit(put("2", first)));
+    const Revision second = valueOf(store.commit(put("2", first))).revision;
     const auto changes = coming.get();
     BOOST_REQUIRE(isOk(changes));
     BOOST_REQUIRE(valueOf(changes).size() == 1U);
@@ -119,7 +119,7 @@
 BOOST_AUTO_TEST_CASE(etcdStoreWatchOfCompactedRevisionReportsNotFound)
 {
     EtcdStore store(url, Milliseconds(5000));
-    const Revision first = valueOf(store.commit(put("1", Revision())));
+    const Revision first = valueOf(store.commit(put("1", Revision()))).revision;
     setFaults(R"({"compact": true})");
     BOOST_TEST((errorOf(store.watch("/k/", {StoreEra(), first}, Milliseconds(5000))).code == ErrorCode::NotFound));
 }
@@ -140,7 +140,7 @@
 BOOST_AUTO_TEST_CASE(etcdStoreKeepAliveOfExpiredLeaseReportsNotFound)
 {
     EtcdStore store(url, Milliseconds(5000));
-    const Outcome<LeaseId> lease = store.grantLease(Milliseconds(60000));
+    const Outcome<GrantedLease> lease = store.grantLease(Milliseconds(60000));
     BOOST_REQUIRE(isOk(lease));
     BOOST_TEST(!store.keepLeaseAlive(valueOf(lease)).has_value());
     setFaults(R"({"expireLeases": true})");
--- a/src/tests/fakeconfigstore.h
+++ b/src/tests/fakeconfigstore.h
@@ -46,11 +46,11 @@
             return unavailable();
         }
         StoredRange result = table.range(prefix, end(prefix));
-        result.asOf.era = era;
+        result.asOf.era = showEra();
         return result;
     }
 
-    Outcome<Revision> commit(const StoreTransaction &transaction) override
+    Outcome<StorePosition> commit(const StoreTransaction &transaction) override
     {
         ++commits;
         if (!available) {
@@ -70,7 +70,9 @@
             available = !unavailableAfterLoss;
             return Error {ErrorCode::Unknown, {}, "no answer"};
         }
-        return result;
+        const StoreEra shown = showEra();
+        return isOk(result) ? Outcome<StorePosition>(StorePosition {shown, valueOf(result)})
+                            : Outcome<StorePosition>(errorOf(result));
     }
 
     Outcome<std::vector<StoredChange>>
@@ -82,7 +84,7 @@
         if (onWatch) {
             std::exchange(onWatch, nullptr)();
         }
-        if (from.era != era) {
+        if (from.era != showEra()) {
             return Error {ErrorCode::NotFound, {}, "the store was restored"};
         }
         return table.changes(prefix, end(prefix), from.revision);
@@ -92,32 +94,42 @@
     {
     }
 
-    Outcome<LeaseId> grantLease(Milliseconds duration) override
+    Outcome<GrantedLease> grantLease(Milliseconds duration) override
     {
         if (!available) {
             return unavailable();
         }
-        return table.grantLease(now, duration);
+        return GrantedLease {showEra(), table.grantLease(now, duration)};
     }
 
-    std::optional<Error> keepLeaseAlive(LeaseId lease) override
+    std::optional<Error> keepLeaseAlive(GrantedLease lease) override
     {
         if (!available) {
             return unavailable();
         }
-        if (!table.keepLeaseAlive(now, lease)) {
+        // As with the platform's store, the call takes effect before its answer shows the era.
+        const bool renewed = table.keepLeaseAlive(now, lease.id);
+        if (lease.era != showEra() || !renewed) {
             return Error {ErrorCode::NotFound, {}, "the lease has expired"};
         }
         return std::nullopt;
     }
 
-    std::optional<Error> revokeLease(LeaseId lease) override
+    std::optional<Error> revokeLease(GrantedLease lease) override
     {
-        table.revokeLease(lease);
+        if (lease.era == shownEra_) {
+            table.revokeLease(lease.id);
+        }
         return std::nullopt;
     }
 
 private:
+    /** Returns the era, which the answer to a call shows to the client. */
+    StoreEra showEra()
+    {
+        return shownEra_ = era;
+    }
+
     static std::string end(std::string prefix)
     {
         prefix.back() = static_cast<char>(prefix.back() + 1);
@@ -128,6 +140,8 @@
     {
         return {ErrorCode::Unavailable, {}, "the store cannot be reached"};
     }
+
+    StoreEra shownEra_;
 };
 
 } // namespace rhubarblane
--- a/src/tests/peerregistrationtest.cpp
+++ b/src/tests/peerregistrationtest.cpp
@@ -27,14 +27,22 @@
         }
     }
 
-    bool isStored()
+    bool isStored(const std::string &name = "agent-1")
     {
         const std::vector<StoredValue> values = store.table.range("rhubarblane/", "rhubarblane0").values;
-        return std::any_of(values.begin(), values.end(), [](const StoredValue &value) {
-            return value.key == "rhubarblane/peers/agent-1";
+        return std::any_of(values.begin(), values.end(), [&name](const StoredValue &value) {
+            return value.key == "rhubarblane/peers/" + name;
         });
     }
 
+    /** Writes the entry of another process under a new lease, which it never renews. */
+    void registerOther()
+    {
+        const LeaseId lease = store.table.grantLease(now, Milliseconds(10000));
+        const Peer other {"agent-2", PeerRole::Agent, "a", {0x0a000002, 7720}, 900};
+        store.table.commit({{}, {{"rhubarblane/peers/agent-2", toWire(other).SerializeAsString(), lease}}});
+    }
+
     Timestamp now {1000};
     bool pauseLeases = false;
     Milliseconds longestWait;
@@ -177,6 +185,46 @@
     BOOST_TEST(registration.isRegistered());
 }
 
+// Guards against a process that takes the lease of another one for its own after a restore of the store, which gives
+// out the ids of leases again: it would prolong the other's entry, and its own entry would end with the other's lease.
+BOOST_AUTO_TEST_CASE(registrationAfterRestoreOfStoreWritesEntryUnderNewLease)
+{
+    const StoreTable backup = store.table;
+    runUntil(3000);
+    store.restore(backup);
+    registerOther();
+    runUntil(5000);
+    BOOST_TEST(isStored());
+    BOOST_TEST(named.size() == 2u);
+    // The other process has ended without a notice; a single renewal by this process may have prolonged its lease.
+    runUntil(20000);
+    BOOST_TEST(isStored());
+    BOOST_TEST(!isStored("agent-2"));
+}
+
+// Guards against the same if the store is restored between the grant of the lease and the write of the entry.
+BOOST_AUTO_TEST_CASE(registrationInRestoreOfStoreWritesEntryUnderNewLease)
+{
+    store.beforeCommit = [this, backup = store.table] {
+        store.restore(backup);
+        registerOther();
+    };
+    runUntil(20000);
+    BOOST_TEST(isStored());
+    BOOST_TEST(!isStored("agent-2"));
+}
+
+// Guards against a process that ends another one's lease when it stops right after a restore of the store.
+BOOST_AUTO_TEST_CASE(registrationWithdrawnAfterRestoreOfStoreLeavesEntriesOfOthers)
+{
+    const StoreTable backup = store.table;
+    runUntil(3000);
+    store.restore(backup);
+    registerOther();
+    registration.withdraw();
+    BOOST_TEST(isStored("agent-2"));
+}
+
 // Guards against balancers that wait for reports of a process that has ended.
 BOOST_AUTO_TEST_CASE(registrationWithdrawnLeavesNoEntry)
 {
