Take settled entries for proof only in the era in which they were settled

What callers could see: a balancer that starts shortly after a restore of the store takes the agents in the backup for all, and resets callers of flows whose agents registered since.

Cause: a settled entry proves that no entry written before it was lost, but it was recognised by its content alone, and the own entry by its name. The backup holds such entries of the time before, and lacks later ones.

Change: a settled entry names the era in which it was settled and counts only in a list of that era; the own entry counts as present only with the own start and in the era of its lease. After a restore a balancer settles its entry anew, as after leases that expired.

Tests: balancerStartedAfterRestoreOfStoreDoesNotTakeEntriesForComplete and balancerThatGoesOnThroughRestoreOfStoreSettlesItsEntryAnew fail with the comparison before and hold with the change.

--- a/src/node/peerregistration.cpp
+++ b/src/node/peerregistration.cpp
@@ -25,7 +25,7 @@
 
 struct PeerEntry {
     Peer peer;
-    bool settled = false;
+    bool settled = false; ///< The entry was settled in the era in which it was read.
     Revision revision;
 };
 
@@ -40,7 +40,8 @@
             onLog("peerEntryUnreadable", value.key);
             continue;
         }
-        entries.push_back({*peer, encoded.settled(), value.modified});
+        const bool settled = encoded.settled() && StoreEra(encoded.settled_era()) == range.asOf.era;
+        entries.push_back({*peer, settled, value.modified});
     }
     return entries;
 }
@@ -102,9 +103,10 @@
     }
     // An entry that replaces a settled one without a gap is settled as well. Any other entry is written without a
     // precondition, because only this process writes the key and repeating the write is idempotent.
-    const std::optional<Revision> earlier = std::exchange(earlierEntry_, std::nullopt);
-    bool settled = earlier.has_value();
-    Outcome<StorePosition> written = writeEntry(settled, earlier);
+    const std::optional<StorePosition> earlier = std::exchange(earlierEntry_, std::nullopt);
+    bool settled = earlier && earlier->era == lease_.era;
+    Outcome<StorePosition> written =
+        writeEntry(settled, settled ? std::optional<Revision>(earlier->revision) : std::nullopt);
     if (!isOk(written) && errorOf(written).code == ErrorCode::Conflict) {
         settled = false;
         written = writeEntry(settled, std::nullopt);
@@ -143,7 +145,7 @@
     const std::vector<PeerEntry> entries = decodeEntries(valueOf(range), onLog_);
     const auto own = findEntry(entries, self_.name);
     if (own != entries.end() && own->settled) {
-        earlierEntry_ = own->revision;
+        earlierEntry_ = StorePosition {valueOf(range).asOf.era, own->revision};
     }
     return std::nullopt;
 }
@@ -152,6 +154,7 @@
 {
     wire::relay::Peer entry = toWire(self_);
     entry.set_settled(settled);
+    entry.set_settled_era(settled ? lease_.era.value() : 0);
     StoreTransaction transaction {{}, {StoreWrite {key_, entry.SerializeAsString(), lease_.id}}};
     if (replaced) {
         transaction.compares.push_back({key_, *replaced});
@@ -212,7 +215,10 @@
         return errorOf(range);
     }
     const std::vector<PeerEntry> entries = decodeEntries(valueOf(range), onLog_);
-    const bool listed = findEntry(entries, self_.name) != entries.end();
+    const auto own = findEntry(entries, self_.name);
+    // The backup of a restored store may hold an entry of an earlier start.
+    const bool listed =
+        own != entries.end() && own->peer.incarnation == self_.incarnation && valueOf(range).asOf.era == lease_.era;
     const bool settled =
         std::any_of(entries.begin(), entries.end(), [](const PeerEntry &entry) { return entry.settled; });
     // After a failed call, other processes may not have been able to register yet either.
--- a/src/node/peerregistration.h
+++ b/src/node/peerregistration.h
@@ -22,7 +22,8 @@
  * that is due and blocks during its store calls.
  *
  * The list of peers has gaps after an outage in which leases expired. Balancers therefore mark their entries as settled
- * once they have stood for EntryRecoveryPeriod; a settled entry in a list proves that it has no such gaps.
+ * once they have stood for EntryRecoveryPeriod; a settled entry in a list proves that it has no such gaps. Entries that
+ * were settled before a restore of the store prove nothing.
  */
 class PeerRegistration
 {
@@ -76,8 +77,8 @@
     GrantedLease lease_;
     bool registered_ = false;
     bool storeAvailable_ = true;
-    /** Revision of the settled entry of an earlier start, until this start tries to replace it. */
-    std::optional<Revision> earlierEntry_;
+    /** Position of the settled entry of an earlier start, until this start tries to replace it. */
+    std::optional<StorePosition> earlierEntry_;
     bool earlierEntryRead_ = false;
     OwnEntry entry_;
     bool peersRead_ = false;
--- a/src/tests/peerregistrationtest.cpp
+++ b/src/tests/peerregistrationtest.cpp
@@ -286,6 +286,50 @@
     BOOST_TEST(isKept());
 }
 
+// Guards against a settled entry in the backup of a restored store, which lacks the entries written since: callers of
+// living flows would be reset at a balancer that does not know the flows' agents.
+BOOST_AUTO_TEST_CASE(balancerStartedAfterRestoreOfStoreDoesNotTakeEntriesForComplete)
+{
+    startAndRun(4000);
+    const StoreTable backup = store.table;
+    for (const std::int64_t uptime : {10, 4000}) {
+        startAndRun(uptime);
+        store.restore(backup);
+        startAndRun(10);
+        BOOST_TEST(first.has_value());
+        BOOST_TEST(!isKept());
+        start();
+        run(10);
+        BOOST_TEST(!isKept());
+    }
+    // The entry that this start wrote has stood for as long as the others need to write theirs again.
+    run(4000);
+    startAndRun(10);
+    BOOST_TEST(isKept());
+}
+
+// Guards against the same through the settled entry of another balancer in the backup, and against a balancer that settles
+// its entry in the moment of the restore, or never again.
+BOOST_AUTO_TEST_CASE(balancerThatGoesOnThroughRestoreOfStoreSettlesItsEntryAnew)
+{
+    startAndRun(100);
+    store.beforeCommit = [this, backup = store.table] { store.restore(backup); };
+    run(4000);
+    BOOST_TEST(store.era.value() == 1u);
+    wire::relay::Peer other = toWire({"balancer-10", PeerRole::Balancer, "a", {0x0a000002, 7720}, 900});
+    other.set_settled(true);
+    other.set_settled_era(1);
+    store.table.commit({{}, {{"rhubarblane/peers/balancer-10", other.SerializeAsString(), LeaseId()}}});
+    const StoreTable backup = store.table;
+    store.restore(backup);
+    run(2000);
+    startAndRun(10);
+    BOOST_TEST(!isKept());
+    run(4000);
+    startAndRun(10);
+    BOOST_TEST(isKept());
+}
+
 // Guards against processes that could not register in an outage in which leases did not expire.
 BOOST_AUTO_TEST_CASE(balancerWithFailedCallDoesNotTakeLeasesForKept)
 {
