Pause between full reads of a store whose history is dropped again and again

What callers could see: nothing by itself; a store whose answers come from different eras, for example since a proxy removes the header from some of them, would be read in a loop by all balancers, at some hundred calls a second each.

Cause: a watch that fails for missing history is followed by a full read at once, and that by a watch. Since the watch also fails if the era has changed, this no longer needs a compaction each time.

Test: watcherOfStoreWithChangingEraPausesBetweenReads fails without the pause.

--- a/src/node/tablewatcher.cpp
+++ b/src/node/tablewatcher.cpp
@@ -50,17 +50,23 @@
     // Jitter spreads the reconnects of balancers that started at the same time.
     const Milliseconds wait(
         std::uniform_int_distribution<std::int64_t>(MaxWatchTimeout.count() * 3 / 4, MaxWatchTimeout.count())(random_));
-    std::optional<Error> error = watched_.asOf == StorePosition() ? readAll(watched_) : waitForChange(watched_, wait);
+    const bool reads = watched_.asOf == StorePosition();
+    std::optional<Error> error = reads ? readAll(watched_) : waitForChange(watched_, wait);
+    Milliseconds delay = error ? RetryInterval : Milliseconds(0);
     if (error) {
         // The store may have compacted its history, so only a full read returns the changes since the last revision.
         watched_.asOf = StorePosition();
         if (error->code == ErrorCode::NotFound) {
             onLog_("historyDropped", prefix_);
             error.reset();
+            // A store that drops the history of each read, or changes its era with each answer, is not read in a loop.
+            delay = std::exchange(historyDropped_, true) ? RetryInterval : Milliseconds(0);
         }
+    } else if (!reads) {
+        historyDropped_ = false;
     }
     updateStoreAvailability(error);
-    return error ? RetryInterval : Milliseconds(0);
+    return delay;
 }
 
 bool TableWatcher::check()
--- a/src/node/tablewatcher.h
+++ b/src/node/tablewatcher.h
@@ -104,6 +104,8 @@
     std::set<std::string> invalidKeys_;
     std::mt19937_64 random_ {std::random_device {}()};
     bool storeAvailable_ = true;
+    /** No watch has succeeded since the store did not have the history of one. */
+    bool historyDropped_ = false;
     std::atomic<bool> stopping_ = false;
 };
 
--- a/src/store/etcdstore.h
+++ b/src/store/etcdstore.h
@@ -14,6 +14,9 @@
 /**
  * A client of the JSON gateway of etcd v3. Each call ends within the timeout, a watch within its own. Safe to use from
  * several threads.
+ *
+ * etcd does not count restores, so all positions have the era 0. A snapshot must therefore be restored with raised
+ * revisions (etcdutl snapshot restore --bump-revision --mark-compacted).
  */
 class EtcdStore : public ConfigStore
 {
--- a/src/tests/peerregistrationtest.cpp
+++ b/src/tests/peerregistrationtest.cpp
@@ -308,8 +308,8 @@
     BOOST_TEST(isKept());
 }
 
-// Guards against the same through the settled entry of another balancer in the backup, and against a balancer that settles
-// its entry in the moment of the restore, or never again.
+// Guards against the same through the settled entry of another balancer in the backup, and against a balancer that
+// settles its entry in the moment of the restore, or never again.
 BOOST_AUTO_TEST_CASE(balancerThatGoesOnThroughRestoreOfStoreSettlesItsEntryAnew)
 {
     startAndRun(100);
--- a/src/tests/tablewatchertest.cpp
+++ b/src/tests/tablewatchertest.cpp
@@ -230,6 +230,22 @@
     BOOST_TEST(!logged("storeLost"));
 }
 
+// Guards against full reads without a pause while the answers of a faulty store come from different eras.
+BOOST_AUTO_TEST_CASE(watcherOfStoreWithChangingEraPausesBetweenReads)
+{
+    const auto watchInNextEra = [this] {
+        store.onWatch = [this] { store.era = StoreEra(store.era.value() + 1); };
+        return evacuationWatcher.step();
+    };
+    for (const bool first : {true, false, false}) {
+        BOOST_TEST(evacuationWatcher.step().count() == 0);
+        BOOST_TEST((watchInNextEra().count() == 0) == first);
+    }
+    evacuationWatcher.step();
+    evacuationWatcher.step();
+    BOOST_TEST(watchInNextEra().count() == 0);
+}
+
 // Guards against input errors of operators that evacuate a zone, stop the watch or fill the log.
 BOOST_AUTO_TEST_CASE(watcherWithInvalidEvacuationsLogsEachOnceAndEvacuatesOtherZones)
 {
